Refuse a booking whose moment lies before that of a set already on its way

Cause: a booked set is carried to the nodes from 1.2 s before its moment, and gets its sequence then. A change booked after that for an earlier moment was taken, got the next sequence and landed second: the later set was undone by the earlier. The write that takes a booking also chose it before its turn, so one booked in between for an earlier moment went second too. Ruled out: wrong clocks; it happened with all clocks right. The operator is told 409 with the sequence in the way. Conclusion: sequence and moment must rise together; refusing is the only answer that undoes nothing.

--- a/pooler/cmd/control/calls.go
+++ b/pooler/cmd/control/calls.go
@@ -169,7 +169,11 @@
 		if len(faults) > 0 {
 			return http.StatusUnprocessableEntity, fleet.Refuse("the change is broken; nothing of it was taken", faults...), nil
 		}
-		puts := steer.BookSet(held, id, at, bindings, wall)
+		puts, way := steer.BookSet(held, id, at, bindings, wall)
+		if len(puts) == 0 {
+			text := fmt.Sprintf("sequence %d, due at %d, is on its way already: book for that moment or later", way.Sequence, way.Due/int64(time.Millisecond))
+			return http.StatusConflict, conflict(text, way.Sequence), nil
+		}
 		return http.StatusOK, map[string]any{"id": id, "at_ms": at / int64(time.Millisecond)}, puts
 	}, answer)
 }
--- a/pooler/coordination/steer/calls.go
+++ b/pooler/coordination/steer/calls.go
@@ -62,9 +62,16 @@
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("sequence %d taken", set.Sequence), source)...), newest.Sequence
 }
 
-// BookSet gives the puts that book a set for a moment.
-func BookSet(held *table.Table, id string, at int64, bindings []view.Binding, wall int64) []table.Put {
+// BookSet gives the puts that book a set for a moment; none, and the set in
+// the way, where one of a later moment is on its way to the nodes already,
+// since the sets would land out of order.
+func BookSet(held *table.Table, id string, at int64, bindings []view.Binding, wall int64) ([]table.Put, view.Set) {
+	for _, set := range view.DocOf(held).Sets {
+		if set.Due > at && (set.Moment == 0 || set.Moment > wall) {
+			return nil, set
+		}
+	}
 	booking := view.Booking{ID: id, At: at, Bindings: bindings, Order: held.Stamp.Sequence}
 	puts := []table.Put{{Key: view.KeyBook + id, Data: table.Encode(booking)}}
-	return append(puts, EntryPuts(held, wall, "bindings", "change booked: "+id, fmt.Sprintf("for %d", at/int64(time.Millisecond)))...)
+	return append(puts, EntryPuts(held, wall, "bindings", "change booked: "+id, fmt.Sprintf("for %d", at/int64(time.Millisecond)))...), view.Set{}
 }
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -461,15 +461,9 @@
 		m.isLand = false
 		m.desk.Thaw()
 	}
-	var bookings []view.Booking
-	for _, key := range m.table.Keys(view.KeyBook) {
-		if booking, isHeld := table.Get[view.Booking](m.table, key); isHeld {
-			bookings = append(bookings, booking)
-		}
-	}
-	if next, isDue := timeline.Next(bookings, wall); isDue {
+	if _, isDue := nextBooking(m.table, wall); isDue {
 		m.isLand = true
-		return Write{Build: func(held *table.Table) []table.Put { return takeBooking(held, next, wall) }, Done: done}, true
+		return Write{Build: func(held *table.Table) []table.Put { return takeBooking(held, wall) }, Done: done}, true
 	}
 	if moved := m.catchUp(wall); len(moved) > 0 {
 		m.isLand = true
@@ -511,11 +505,22 @@
 	return moved
 }
 
-func takeBooking(held *table.Table, booking view.Booking, wall int64) []table.Put {
-	key := view.KeyBook + booking.ID
-	if _, isHeld := held.Records[key]; !isHeld {
+func nextBooking(held *table.Table, wall int64) (view.Booking, bool) {
+	var bookings []view.Booking
+	for _, key := range held.Keys(view.KeyBook) {
+		if booking, isHeld := table.Get[view.Booking](held, key); isHeld {
+			bookings = append(bookings, booking)
+		}
+	}
+	return timeline.Next(bookings, wall)
+}
+
+func takeBooking(held *table.Table, wall int64) []table.Put {
+	booking, isDue := nextBooking(held, wall)
+	if !isDue {
 		return nil
 	}
+	key := view.KeyBook + booking.ID
 	newest := view.DocOf(held).Newest()
 	set := view.Set{Sequence: newest.Sequence + 1, Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID}
 	puts := []table.Put{{Key: key, IsGone: true}, {Key: SetKey(set.Sequence), Data: table.Encode(set)}}
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -151,3 +151,34 @@
 		So(isOldest, ShouldBeFalse)
 	})
 }
+
+func TestBookedSetsLandInOrder(t *testing.T) {
+	at := func(d *desk, span time.Duration) int64 { return d.wall + int64(span) }
+	book := func(d *desk, id string, moment int64) bool {
+		puts, _ := BookSet(d.held, id, moment, []view.Binding{{Name: id, Database: "x"}}, d.wall)
+		return d.write(Write{Build: func(*table.Table) []table.Put { return puts }, Done: func() {}}) > 0
+	}
+	Convey("A change whose moment lies before that of one already on its way is refused, and a later one is not", t, func() {
+		d := newDesk(1, table.New())
+		later := at(d, time.Second)
+		So(book(d, "later", later), ShouldBeTrue)
+		d.settle()
+		So(d.Doc().Newest().Source, ShouldEqual, "booking later")
+		So(book(d, "earlier", later-int64(500*time.Millisecond)), ShouldBeFalse)
+		So(book(d, "same", later), ShouldBeTrue)
+		for range 5 {
+			d.pass(time.Second)
+			d.settle()
+		}
+		So(book(d, "past", later-int64(500*time.Millisecond)), ShouldBeTrue)
+	})
+	Convey("A change booked between the choice and the write of another, for an earlier moment, goes first", t, func() {
+		d := newDesk(1, table.New())
+		So(book(d, "later", at(d, time.Second)), ShouldBeTrue)
+		landing, isDue := d.Land(d.wall, d.now)
+		So(isDue, ShouldBeTrue)
+		So(book(d, "earlier", at(d, 500*time.Millisecond)), ShouldBeTrue)
+		d.write(landing)
+		So(d.Doc().Newest().Source, ShouldEqual, "booking earlier")
+	})
+}
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -298,7 +298,12 @@
 			return nil
 		}
 		if due != 0 {
-			return steer.Keep(held, id, steer.Outcome{}, steer.BookSet(held, id, due, set, disk.wallNow()))
+			puts, _ := steer.BookSet(held, id, due, set, disk.wallNow())
+			if len(puts) == 0 {
+				isConflict = true
+				return nil
+			}
+			return steer.Keep(held, id, steer.Outcome{}, puts)
 		}
 		puts, newest := steer.PutSet(held, expected, set, id, disk.wallNow())
 		if len(puts) == 0 {
