Serve by the primary's clock only while it is known within 80 ms

Cause: a node reckons the primary's clock from its answers, give or take half their trip, and took a new reading from any answer once the last was 2 s old, whatever its trip. An answer that a frozen control machine gave on waking had a trip of 580 ms, so the node came 290 ms late to a common moment. Change: a reading is kept with its doubt, which grows by 2 % of its age; only a reading with less doubt takes its place, but in a new epoch; above 80 ms a grant gives no lease and no moment is reckoned. Also: the simulated callers noted the opening of a session as sent when it was answered, which showed one false fault. Conclusion: a lease rests on a clock and needs its error bounded.

--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -141,10 +141,9 @@
 	timing  Timing
 	until   time.Duration
 	epoch   uint64
-	primary string
-	trip    time.Duration
 	offset  int64
 	offsets int
+	doubt   time.Duration
 	readAt  time.Duration
 	cutAt   time.Duration
 }
@@ -163,20 +162,40 @@
 	Held time.Duration
 }
 
+// wander is by how many hundredths the primary's clock may run apart from
+// the node's: drift of both, and the primary's own moving of it.
+const wander = 2
+
+// MostDoubt is how far the reckoning of the primary's clock may be out for a
+// node to serve by it.
+const MostDoubt = 80 * time.Millisecond
+
+// Doubt bounds how far the reckoning may be out.
+func (h *Holder) Doubt(now time.Duration) time.Duration {
+	if h.offsets == 0 {
+		return time.Hour
+	}
+	return h.doubt + (now-h.readAt)*wander/100
+}
+
 // OnGrant takes a lease counted from when its ask was sent. Grants of an
-// epoch older than one seen are nothing.
+// epoch older than one seen are nothing, and so is one that leaves the
+// primary's clock in too much doubt: the answer says when it was written,
+// give or take half its trip.
 func (h *Holder) OnGrant(grant Grant, sent, now time.Duration) bool {
 	if grant.Epoch < h.epoch || sent < h.cutAt {
 		return false
 	}
-	h.epoch = grant.Epoch
-	h.until = max(h.until, sent+grant.Length-grant.Length*h.timing.Drift/100)
-	trip := max(now-sent-grant.Held, 0)
-	if h.offsets == 0 || h.primary != grant.Primary || trip <= h.trip || now-h.readAt > 2*time.Second {
-		h.offset, h.trip, h.readAt = grant.Wall+int64(trip/2)-int64(now), trip, now
-		h.primary = grant.Primary
+	doubt := max(now-sent-grant.Held, 0) / 2
+	if grant.Epoch > h.epoch || doubt <= h.Doubt(now) {
+		h.offset, h.doubt, h.readAt = grant.Wall+int64(doubt)-int64(now), doubt, now
 		h.offsets++
 	}
+	h.epoch = grant.Epoch
+	if h.Doubt(now) > MostDoubt {
+		return false
+	}
+	h.until = max(h.until, sent+grant.Length-grant.Length*h.timing.Drift/100)
 	return true
 }
 
--- a/pooler/coordination/lease/lease_test.go
+++ b/pooler/coordination/lease/lease_test.go
@@ -25,6 +25,18 @@
 		h.OnGrant(grant(1, int64(time.Hour)), time.Second, time.Second+252*time.Millisecond)
 		So(h.Wall(time.Second+252*time.Millisecond), ShouldEqual, int64(time.Hour+time.Millisecond))
 	})
+	Convey("A slow answer neither moves the reckoning of the clock nor, where nothing better is known, gives a lease", t, func() {
+		h := NewHolder(timing)
+		slow := func(epoch uint64, wall int64) Grant {
+			return Grant{Epoch: epoch, Primary: "c1", Length: timing.Full, Wall: wall}
+		}
+		So(h.OnGrant(slow(1, 0), time.Second, 1580*time.Millisecond), ShouldBeFalse)
+		So(h.IsHeld(1580*time.Millisecond), ShouldBeFalse)
+		So(h.OnGrant(slow(1, int64(time.Hour)), 2*time.Second, 2*time.Second), ShouldBeTrue)
+		So(h.OnGrant(slow(1, int64(time.Hour+3580*time.Millisecond)), 5*time.Second, 5580*time.Millisecond), ShouldBeTrue)
+		So(h.Wall(6*time.Second), ShouldEqual, int64(time.Hour+4*time.Second))
+		So(h.OnGrant(slow(2, 0), 7*time.Second, 7580*time.Millisecond), ShouldBeFalse)
+	})
 	Convey("Grants of an older epoch, and those for asks sent before a cut, are nothing", t, func() {
 		h := NewHolder(timing)
 		h.OnGrant(grant(5, 0), time.Second, time.Second)
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -197,6 +197,9 @@
 }
 
 func (m *Machine) reckon(now time.Duration) {
+	if m.holder.Doubt(now) > lease.MostDoubt {
+		return
+	}
 	offset := m.holder.Wall(0)
 	moments := map[uint64]time.Duration{}
 	for _, set := range m.doc.Sets {
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -96,7 +96,7 @@
 	remote := fmt.Sprintf("%s#%d", c.name, c.remotes)
 	c.home, c.remote = home, remote
 	home.remotes = append(home.remotes, c)
-	isOver := false
+	isOver, sent := false, int64(c.world.now)
 	over := func(session string, sequence uint64, wait time.Duration) {
 		if isOver {
 			return
@@ -106,7 +106,7 @@
 		if session != "" && c.home == home && c.remote == remote {
 			c.session, c.count = session, 0
 			event := c.event("open", "", "")
-			event.Outcome, event.Sequence = "done", sequence
+			event.Sent, event.Outcome, event.Sequence = sent, "done", sequence
 			event.Got = int64(c.world.now)
 			c.fleet.events = append(c.fleet.events, event)
 			then()
