Take no grant or clock from another run, nor a clock from a machine that read none

Cause: a renewal answered late, by a voter that had been frozen, reached the control primary's next run of the program. It counted as a grant there, before the machine had read its own clock even once; the clock of that tenure then began at zero and crept on by 1 % from 1970, so no booked change landed. An answer from a machine just started, before its first clock event, had the same effect. Ruled out: the wrong clocks that the simulator sets; a lost disk. Change: a renewal names the run that asked and the answer repeats it; answers of another run are nothing; a reading of zero, or one whose trip was over 200 ms, is not taken. Conclusion: that a clock is monotonic says nothing across runs.

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -74,14 +74,19 @@
 		Decided  Record
 	}
 	// Renew asks for primacy for a bounded time.
+	// Life tells the asker's run of the program, which no answer outlives; a
+	// build that does not know it leaves it out.
 	Renew struct {
 		Record Record
 		Sent   time.Duration
+		Life   int64
 	}
-	// RenewAck grants it, or says who is ahead.
+	// RenewAck grants it, or says who is ahead. Wall is 0 from a machine
+	// that has just started and not read its clock yet.
 	RenewAck struct {
 		Decided   Record
 		Sent      time.Duration
+		Life      int64
 		Wall      int64
 		IsGranted bool
 		IsMute    bool
@@ -243,6 +248,7 @@
 	isLost      bool
 	isUnsettled bool
 
+	life    int64
 	wall    int64
 	wallAt  time.Duration
 	offset  int64
@@ -341,7 +347,10 @@
 // it only creeps, so that the nodes' reckonings of it stay alike.
 func (m *Machine) Wall(now time.Duration) int64 { return m.offset + int64(now) }
 
-const creep = int64(time.Millisecond)
+const (
+	creep     = int64(time.Millisecond)
+	clockTrip = 200 * time.Millisecond
+)
 
 func (m *Machine) setClock(now time.Duration) {
 	offsets := []int64{m.wall - int64(m.wallAt)}
@@ -407,6 +416,9 @@
 
 func (m *Machine) onTick(tick Tick, now time.Duration) {
 	m.wall, m.wallAt = tick.Wall, now
+	if m.life == 0 {
+		m.life = tick.Wall
+	}
 	if m.identity == nil || !m.identity.IsFormed || m.isLost {
 		m.seekStanding(now)
 		return
@@ -430,7 +442,7 @@
 	if now-m.renewed >= m.timing.Renew {
 		m.renewed = now
 		m.setClock(now)
-		m.others(func(name string) { m.send(name, Renew{Record: m.ballots.Decided, Sent: now}) })
+		m.others(func(name string) { m.send(name, Renew{Record: m.ballots.Decided, Sent: now, Life: m.life}) })
 		m.reckon(now)
 	}
 	if m.pending != nil && m.round == nil && now-m.pending.sent > m.timing.Reply && now >= m.waitUntil {
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -258,19 +258,22 @@
 	if isGranted {
 		m.grantTo, m.grantAt = from, now
 	}
-	m.send(from, RenewAck{
-		Decided: decided, Sent: renew.Sent, IsGranted: isGranted,
-		Wall: m.wall + int64(now-m.wallAt), IsMute: m.ballots.Muted > decided.Epoch,
-	})
+	ack := RenewAck{Decided: decided, Sent: renew.Sent, Life: renew.Life, IsGranted: isGranted, IsMute: m.ballots.Muted > decided.Epoch}
+	if m.wall != 0 {
+		ack.Wall = m.wall + int64(now-m.wallAt)
+	}
+	m.send(from, ack)
 }
 
 func (m *Machine) onRenewAck(from string, ack RenewAck, now time.Duration) {
 	m.adopt(ack.Decided, now, "a voter is ahead")
-	if !m.isNamed() || ack.Sent > now {
+	if !m.isNamed() || ack.Sent > now || m.life == 0 || (ack.Life != 0 && ack.Life != m.life) {
 		return
 	}
 	m.acks[from] = now
-	m.walls[from] = ack.Wall - int64(ack.Sent+(now-ack.Sent)/2)
+	if ack.Wall != 0 && now-ack.Sent < clockTrip {
+		m.walls[from] = ack.Wall - int64(ack.Sent+(now-ack.Sent)/2)
+	}
 	if ack.IsMute {
 		m.mutes[from] = true
 	}
