Let state that lies idle on a connection give way when statements wait for one

Cause: a setting or a prepared statement pins a connection until its consumer goes. On a node whose share at an instance is small, a few consumers with idle state took all of it, and every other statement on that database waited to its deadline. Ruled out: windows (they had room), the instances (idle), ghosts (none). Change: a statement that has waited 200 ms for a connection, with the share used up, has the session closed whose state has lain idle longest, never one inside a transaction or with a request out. Weighed: a cap on pins refuses state for ever while the pins idle; handing state on is barred.

--- a/pooler/coordination/hall/hall.go
+++ b/pooler/coordination/hall/hall.go
@@ -27,6 +27,9 @@
 	Reap time.Duration
 	// Inside is how long a transaction may lie idle, Idle a consumer.
 	Inside, Idle time.Duration
+	// Shed is how long a statement waits for a connection before one is taken
+	// from the consumer whose state has lain idle there longest.
+	Shed time.Duration
 	// RestFirst and RestMost bound the rest after a connection was refused.
 	RestFirst, RestMost time.Duration
 	// Line, Consumers and Seeks bound a line, the node's consumers, and the
@@ -38,7 +41,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Deadline: 5 * time.Second, Grace: 5 * time.Second, Reap: 10 * time.Second, Inside: 10 * time.Second,
-		Idle: 30 * time.Minute, RestFirst: 100 * time.Millisecond, RestMost: time.Second,
+		Idle: 30 * time.Minute, Shed: 200 * time.Millisecond, RestFirst: 100 * time.Millisecond, RestMost: time.Second,
 		Line: 4096, Consumers: 20000, Seeks: 64,
 	}
 }
--- a/pooler/coordination/hall/line.go
+++ b/pooler/coordination/hall/line.go
@@ -112,6 +112,7 @@
 				return
 			}
 			if !m.take(j, target, writer.Term, now) {
+				m.shed(target, j, now)
 				m.grow(target, waiting.live, now)
 				break
 			}
@@ -185,6 +186,24 @@
 	}
 }
 
+func (m *Machine) shed(target *back, j *Job, now time.Duration) {
+	isShort := target.sessions >= m.share(target) && target.opening == 0 && now-j.arrived > m.timing.Shed
+	if !isShort {
+		return
+	}
+	var oldest *consumer
+	for _, held := range target.pins {
+		isIdle := !held.isBusy && !held.isInside && now-held.used > m.timing.Shed
+		if isIdle && (oldest == nil || held.used < oldest.used) {
+			oldest = held
+		}
+	}
+	if oldest != nil {
+		m.count("sessions_shed", 1)
+		m.loseSession(oldest)
+	}
+}
+
 func (m *Machine) take(j *Job, target *back, term uint64, now time.Duration) bool {
 	held := j.consumer
 	wire := held.pinned
