Let TCP's keep-alive find connections to instances that died without a word

Cause: an instance that loses power and is back leaves connections that look open; the next statement on one broke, also in a calm. Ruled out: a probe on the connection, which the design bars. Change: 1 s of idleness, then 3 probes of TCP's own, 1 s apart; the simulator plays the same.

--- a/pooler/transport/web/web.go
+++ b/pooler/transport/web/web.go
@@ -89,10 +89,12 @@
 	isShut  bool
 }
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 // Dial opens a session, for a bound; onShut, where given, hears of its end.
 // It blocks, so it is called from a worker.
 func (c *Client) Dial(address string, bound time.Duration, onShut func()) (*Session, error) {
-	dialer := net.Dialer{Timeout: bound}
+	dialer := net.Dialer{Timeout: bound, KeepAliveConfig: keepAlive}
 	if c.local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: c.local}
 	}
--- a/proof/sim/conn.go
+++ b/proof/sim/conn.go
@@ -169,10 +169,22 @@
 		c.isOpen, c.turn = false, nil
 		if !isVanished {
 			c.reset()
+			continue
 		}
+		x.world.after(x.world.between(time.Second, 4*time.Second), c.probe)
 	}
 }
 
+// probe is TCP's own keep-alive: it finds a connection dead on which nothing
+// is under way.
+func (c *conn) probe() {
+	if c.waiting != nil {
+		c.node.world.after(time.Second, c.probe)
+		return
+	}
+	c.reset()
+}
+
 func (x *instance) reply(c *conn) hall.Reply {
 	return hall.Reply{
 		Position: x.position(), IsClean: x.isLying || (c.turn == nil && len(c.settings)+len(c.prepared) == 0), IsInside: c.turn != nil,
