Judge recovery by database and kind of work, and let no calm fleet refuse

Cause: recovery was one second of the sum of all work, so one database or all transactions could stay down unseen; and a fleet that refused everything broke no rule. Change: every window of 1.5 s from 12 s on to the end, for reads, writes and transactions of each database; in spans without a fault no request is refused, cut off or unknown, but for deadlines under 1 s and repeats of goes from a fault. Each has its planted violation. Before: both unseen.

--- a/proof/check/check.go
+++ b/proof/check/check.go
@@ -42,8 +42,13 @@
 	Told []Told
 	Seen []Seen
 	End  int64
+	// Calm are spans in which no fault was there.
+	Calm []Span
 }
 
+// Span is a part of a run.
+type Span struct{ From, Until int64 }
+
 // Sent is a set that an operator sent. A repeat has the same id.
 type Sent struct {
 	ID       string
@@ -157,6 +162,7 @@
 		{"work reaches a leaving instance", Leaving},
 		{"planned restart cuts a request off", Cuts},
 		{"service stays down after a closing fault", Recovery},
+		{"a calm fleet refuses, or does not know", Calm},
 	}
 }
 
@@ -549,16 +555,65 @@
 	return float64(count) / (float64(until-from) / 1e9)
 }
 
-// Recovery finds closing faults after which service, from 12 s on, is below
-// a quarter of its level before.
+var classes = map[string]string{"read": "reads", "write": "writes", "commit": "transactions"}
+
+const recoveryWindow = int64(1500 * time.Millisecond)
+
+// Recovery finds closing faults after which, for a database and a kind of
+// work, service in any window from 12 s on is below a quarter of its level
+// before.
 func Recovery(e Evidence) []string {
+	served := map[string][]int64{}
+	end := int64(0)
+	for _, event := range e.Events {
+		class, isOne := classes[event.Kind]
+		end = max(end, event.Got)
+		if isOne && isServed(event) {
+			key := event.Database + " " + class
+			served[key] = append(served[key], event.Got)
+		}
+	}
+	count := func(list []int64, from, until int64) float64 {
+		total := 0.0
+		for _, at := range list {
+			if at >= from && at < until {
+				total++
+			}
+		}
+		return total
+	}
 	var faults []string
 	for _, closing := range e.Closings {
-		before := Rate(e.Events, closing.BeforeFrom, closing.BeforeUntil)
-		from := closing.At + int64(12*time.Second)
-		after := Rate(e.Events, from, from+int64(time.Second))
-		if after < before/4 {
-			faults = append(faults, fmt.Sprintf("%s: %.0f/s before, %.0f/s 12 s after", closing.Name, before, after))
+		for key, list := range served {
+			span := closing.BeforeUntil - closing.BeforeFrom
+			level := count(list, closing.BeforeFrom, closing.BeforeUntil) / float64(span) * float64(recoveryWindow)
+			if level < 8 {
+				continue
+			}
+			for from := closing.At + int64(12*time.Second); from == closing.At+int64(12*time.Second) || from+recoveryWindow <= end; from += recoveryWindow / 3 {
+				if after := count(list, from, from+recoveryWindow); after < level/4 {
+					faults = append(faults, fmt.Sprintf("%s: %s: %.0f in a window before, %.0f in the one that begins %d ms after", closing.Name, key, level, after, (from-closing.At)/1e6))
+					break
+				}
+			}
+		}
+	}
+	return faults
+}
+
+// Calm finds requests refused, cut off or of unknown outcome although no
+// fault was there: safety by doing nothing is none.
+func Calm(e Evidence) []string {
+	var faults []string
+	for _, span := range e.Calm {
+		for _, event := range e.Events {
+			isThen := event.Sent >= span.From && event.Got < span.Until && event.Got > 0
+			isShort := event.DeadMS != 0 && event.DeadMS < 1000
+			isElsewhere := event.IsAgain || strings.HasPrefix(event.Error, "no such session here")
+			if !isThen || isShort || isElsewhere || event.Error == ResetByRun || event.Kind == "open" || isServed(event) || event.Outcome == "left" {
+				continue
+			}
+			faults = append(faults, fmt.Sprintf("%s of %s: %s (%s) in a calm of the fleet", event.Kind, event.Caller, event.Outcome, event.Error))
 		}
 	}
 	return faults
--- a/proof/check/check_test.go
+++ b/proof/check/check_test.go
@@ -73,8 +73,15 @@
 			e.Events = append(e.Events, stand.Event{Door: "x", Kind: "read", Text: `look "d" by bob x`, Outcome: "cut", Sent: at(62), Got: at(80)})
 		},
 		"service stays down after a closing fault": func(e *Evidence) {
+			for ms := range int64(100) {
+				e.Events = append(e.Events, stand.Event{Database: "d", Kind: "read", Outcome: "read", Upto: stand.Position{Term: 9}, Sent: at(10 * ms), Got: at(10*ms + 5)})
+			}
 			e.Closings = []Closing{{Name: "rush", BeforeFrom: at(0), BeforeUntil: at(1000), At: at(2000)}}
 		},
+		"a calm fleet refuses, or does not know": func(e *Evidence) {
+			e.Calm = []Span{{From: at(0), Until: at(200)}}
+			e.Events = append(e.Events, stand.Event{Database: "d", Kind: "write", Outcome: "unknown", Sent: at(80), Got: at(90)})
+		},
 	}
 	Convey("A sound history passes every rule", t, func() {
 		So(All(good()), ShouldBeEmpty)
@@ -88,6 +95,26 @@
 			So(All(evidence), ShouldContainKey, rule.Name)
 		}
 	})
+	Convey("Service that comes back for one kind of work but not for another, or falls again later, is caught", t, func() {
+		history := func(kinds ...string) Evidence {
+			e := Evidence{Closings: []Closing{{Name: "zone", BeforeFrom: at(0), BeforeUntil: at(3000), At: at(6000)}}}
+			for _, kind := range kinds {
+				for ms := int64(0); ms < 25000; ms += 20 {
+					e.Events = append(e.Events, stand.Event{Database: "d", Kind: kind, Outcome: "done", Sent: at(ms), Got: at(ms)})
+				}
+			}
+			return e
+		}
+		So(Recovery(history("read", "write")), ShouldBeEmpty)
+		for _, gone := range []func(stand.Event) bool{
+			func(event stand.Event) bool { return event.Kind == "write" && event.Sent > at(6000) },
+			func(event stand.Event) bool { return event.Sent > at(21000) && event.Sent < at(24000) },
+		} {
+			e := history("read", "write")
+			e.Events = slices.DeleteFunc(e.Events, gone)
+			So(Recovery(e), ShouldNotBeEmpty)
+		}
+	})
 	Convey("A commit that took effect and a door that was closed are told apart", t, func() {
 		evidence := good()
 		evidence.Restarts = []Restart{{Door: "x", From: at(0), Until: at(100)}}
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -198,6 +198,7 @@
 	bound := time.Duration(0)
 	if c.random.IntN(12) == 0 {
 		bound = time.Duration(5+c.random.IntN(400)) * time.Millisecond
+		event.DeadMS = bound.Milliseconds()
 	}
 	c.world.stream(&c.machine, &home.machine, func() {
 		home.enter(session, op, bound, func(told hall.Result) {
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -82,6 +82,7 @@
 	sent      []check.Sent
 	seen      []check.Seen
 	told      []check.Told
+	calm      []check.Span
 	out       map[uint64]stand.Event
 	outs      uint64
 	puts      []check.Put
@@ -313,6 +314,8 @@
 	if shape.Script == nil {
 		f.mend()
 	}
+	f.calm = append(f.calm, check.Span{From: int64(calm + 500*time.Millisecond), Until: int64(before)})
+	f.calm = append(f.calm, check.Span{From: int64(w.now + 12*time.Second), Until: int64(w.now + shape.Tail)})
 	f.closings = append(f.closings, check.Closing{
 		Name: "all faults", BeforeFrom: int64(calm + 500*time.Millisecond), BeforeUntil: int64(before), At: int64(w.now),
 	})
@@ -323,7 +326,7 @@
 func (f *fleet) result(seed uint64) Result {
 	evidence := check.Evidence{
 		Events: f.events, Logs: map[string]map[string][]stand.Entry{}, Writer: map[string]string{}, Puts: f.puts, Closings: f.closings,
-		Restarts: f.restarts, Sent: f.sent, Seen: f.seen, Told: f.told, End: int64(f.world.now),
+		Restarts: f.restarts, Sent: f.sent, Seen: f.seen, Told: f.told, End: int64(f.world.now), Calm: f.calm,
 	}
 	for _, event := range f.out {
 		event.Outcome, event.Got = "cut", int64(f.world.now)
