Lease nobody beside an inherited pending set while the clock cannot be trusted

Cause: how long a node may still be leased under the set before is reckoned from when the pending set was taken. A control primary that takes over with one other machine up takes the earlier of two clocks; with that one 3 s behind, it leased nodes to serve the old set on. Ruled out: late acknowledgements; the nodes had the set. Change: a clock taken from fewer than three readings, where two are apart by 200 ms, is not trusted; then a pending set of an earlier tenure bars leases until it has its moment. Conclusion: what stays is that a booked change may be late by the error of one of two clocks.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -143,6 +143,7 @@
 		c.primacy = c.machine.Primacy()
 	}
 	c.wall, c.wallAt = c.machine.Wall(now), now
+	c.steer.Trust(c.machine.IsClockSure())
 	c.voters = c.machine.Voters()
 	c.held = c.machine.Copy().Stamp
 	c.mutex.Unlock()
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -252,6 +252,7 @@
 	wall    int64
 	wallAt  time.Duration
 	offset  int64
+	isSure  bool
 	peers   []string
 	formed  map[string]bool
 	asked   time.Duration
@@ -347,6 +348,10 @@
 // it only creeps, so that the nodes' reckonings of it stay alike.
 func (m *Machine) Wall(now time.Duration) int64 { return m.offset + int64(now) }
 
+// IsClockSure says whether that clock was taken from three machines or more,
+// or from two that agree.
+func (m *Machine) IsClockSure() bool { return m.isSure }
+
 const (
 	creep     = int64(time.Millisecond)
 	clockTrip = 200 * time.Millisecond
@@ -363,6 +368,7 @@
 	median := offsets[(len(offsets)-1)/2]
 	if !m.IsPrimary(now) {
 		m.offset = median
+		m.isSure = len(offsets) > 2 || (len(offsets) == 2 && offsets[1]-offsets[0] < int64(clockTrip))
 		return
 	}
 	m.offset += max(min(median-m.offset, creep), -creep)
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -110,6 +110,8 @@
 	isTidy      bool
 	tenure      string
 	isEnrolling map[string]bool
+	inherited   table.Stamp
+	isSure      bool
 }
 
 // New makes the machine with the record and state held on disk.
@@ -190,10 +192,15 @@
 	m.Wrote(held)
 	if isNew {
 		m.clear(now)
+		m.inherited = held.Stamp
 	}
 	return isNew
 }
 
+// Trust says whether the primary's clock may be relied on. Where it may not,
+// how long ago an earlier primary took a pending set is not known.
+func (m *Machine) Trust(isSure bool) { m.isSure = isSure }
+
 // Wrote takes the state that is safe to publish.
 func (m *Machine) Wrote(held *table.Table) {
 	m.table = held
@@ -250,6 +257,9 @@
 	}
 	room := m.timing.Full
 	for _, set := range m.doc.Sets {
+		if set.Moment == 0 && !m.isSure && !m.inherited.IsBefore(m.table.Records[SetKey(set.Sequence)].Stamp) {
+			return 0
+		}
 		if set.Moment == 0 || set.Moment > wall {
 			room = min(room, max(time.Duration(max(set.Taken, set.Due)-wall)+Patience, 0))
 		}
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -152,6 +152,26 @@
 	})
 }
 
+func TestPendingSetOfAnEarlierTenure(t *testing.T) {
+	Convey("A primary that cannot trust its clock leases nobody to serve beside a pending set that it has inherited", t, func() {
+		first := newDesk(1, table.New())
+		first.ask("d1", table.Stamp{}, false)
+		puts, _ := PutSet(first.held, 0, []view.Binding{{Name: "x", Database: "x"}}, "call", first.wall)
+		first.write(Write{Build: func(*table.Table) []table.Put { return puts }, Done: func() {}})
+		for _, isSure := range []bool{false, true} {
+			second := newDesk(1, first.held)
+			second.Machine = New("c2", lease.DefaultTiming(), epoch.Record{Epoch: 1, Primary: "c1"}, first.held, second.now)
+			second.wall -= int64(4 * time.Second)
+			second.Turn(epoch.Record{Epoch: 2, Primary: "c2"}, first.held, second.now)
+			second.Trust(isSure)
+			second.Ask(AskNews{Node: "d1", Kind: view.KindData}, 1, second.now)
+			replies := second.Flush(true, second.wall, second.now)
+			So(len(replies), ShouldEqual, 1)
+			So(replies[0].News.Lease > 0, ShouldEqual, isSure)
+		}
+	})
+}
+
 func TestBookedSetsLandInOrder(t *testing.T) {
 	at := func(d *desk, span time.Duration) int64 { return d.wall + int64(span) }
 	book := func(d *desk, id string, moment int64) bool {
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -163,6 +163,7 @@
 }
 
 func (c *control) flush() {
+	c.steer.Trust(c.epoch.IsClockSure())
 	for _, reply := range c.steer.Flush(c.isPrimary(), c.wallNow(), c.clock()) {
 		answer := c.asks[reply.Token]
 		delete(c.asks, reply.Token)
