Simulate nodes added and replaced, instances replaced in turn, slow links and pairs

Also weights changed, a platform that acts late, a replica that hears nothing while its primary dies, and ambushes: a further trouble drawn soon after a writer role begins to move, since chance alone seldom drew such pairs. simulate -met prints how often each trouble met each phase of a promotion, an epoch change, a pending set and a planned stop. What a trouble still has in store is dropped once all is mended.

--- a/proof/cmd/simulate/main.go
+++ b/proof/cmd/simulate/main.go
@@ -21,6 +21,7 @@
 	count := flag.Uint64("count", 100, "number of seeds")
 	shapeName := flag.String("shape", "magnolia", "magnolia or chile")
 	replay := flag.Uint64("replay", 0, "replay this one seed, with its history")
+	isMet := flag.Bool("met", false, "print how often each trouble met each phase")
 	isAdmission := flag.Bool("admission", false, "play the admission experiments and print their table")
 	flag.Parse()
 	if *isAdmission {
@@ -58,7 +59,11 @@
 		close(results)
 	}()
 	broken, kept, reads, terms, epochs := 0, 0, 0, uint64(0), uint64(0)
+	met := map[string]int{}
 	for result := range results {
+		for pair, times := range result.Met {
+			met[pair] += times
+		}
 		kept, reads = kept+result.Kept, reads+result.Reads
 		terms, epochs = terms+result.Terms-1, epochs+result.Epochs
 		if len(result.Faults) > 0 {
@@ -66,10 +71,25 @@
 			show(result)
 		}
 	}
+	if *isMet {
+		showMet(met)
+	}
 	fmt.Printf("%d seeds of %s, %d broken; %d writes kept, %d reads, %d promotions, %d epochs\n", *count, *shapeName, broken, kept, reads, terms, epochs)
 	return verdict(broken)
 }
 
+func showMet(met map[string]int) {
+	fmt.Println("| trouble | " + strings.Join(sim.Phases, " | ") + " |")
+	fmt.Println("|---|" + strings.Repeat("---|", len(sim.Phases)))
+	for _, name := range sim.TroubleNames() {
+		row := "| " + name
+		for _, phase := range sim.Phases {
+			row += fmt.Sprintf(" | %d", met[name+" / "+phase])
+		}
+		fmt.Println(row + " |")
+	}
+}
+
 func verdict(broken int) int {
 	if broken > 0 {
 		return 1
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -92,6 +92,11 @@
 	rush      float64
 	removed   map[string]bool
 	isSeen    map[string]bool
+	met       map[string]int
+	ambushes  int
+
+	isReplacing bool
+	isMended    bool
 }
 
 func (f *fleet) controlBy(name string) *control {
@@ -134,19 +139,27 @@
 	})
 }
 
+func (f *fleet) machine(name string) machine {
+	w := f.world
+	return machine{world: w, name: name, drift: (w.random.Float64() - 0.5) * 0.004, skew: w.between(0, 20*time.Millisecond)}
+}
+
+func (f *fleet) addNode() *node {
+	one := &node{machine: f.machine(fmt.Sprintf("d%d", len(f.nodes)+1)), fleet: f, beta: 1}
+	one.zone, one.crashed = zones[len(f.nodes)%len(zones)], one.onCrash
+	f.nodes = append(f.nodes, one)
+	return one
+}
+
 func newFleet(seed uint64, shape Shape, plant Plant) *fleet {
 	w := newWorld(seed)
-	f := &fleet{world: w, plant: plant, shape: shape, out: map[uint64]stand.Event{}, rush: 1, removed: map[string]bool{}, isSeen: map[string]bool{}}
-	make_ := func(name string) machine {
-		return machine{world: w, name: name, drift: (w.random.Float64() - 0.5) * 0.004, skew: w.between(0, 20*time.Millisecond)}
-	}
+	f := &fleet{world: w, plant: plant, shape: shape, out: map[uint64]stand.Event{}, rush: 1, removed: map[string]bool{}, isSeen: map[string]bool{}, met: map[string]int{}, ambushes: 4}
+	make_ := f.machine
 	for at := range shape.Controls {
 		f.controls = append(f.controls, &control{machine: make_(fmt.Sprintf("c%d", at+1)), fleet: f, disk: newDisk()})
 	}
-	for at := range shape.Nodes {
-		one := &node{machine: make_(fmt.Sprintf("d%d", at+1)), fleet: f}
-		one.zone, one.crashed = zones[at%len(zones)], one.onCrash
-		f.nodes = append(f.nodes, one)
+	for range shape.Nodes {
+		f.addNode()
 	}
 	for at := range shape.Databases {
 		database := fmt.Sprintf("db%d", at+1)
@@ -283,6 +296,8 @@
 	Trace  string
 	Terms  uint64
 	Epochs uint64
+	// Met counts how often each trouble met each phase.
+	Met map[string]int
 }
 
 // Run simulates one seed. Log, where given, hears every line of the history.
@@ -332,7 +347,7 @@
 		event.Outcome, event.Got = "cut", int64(f.world.now)
 		evidence.Events = append(evidence.Events, event)
 	}
-	result := Result{Seed: seed}
+	result := Result{Seed: seed, Met: f.met}
 	var best *node
 	for _, one := range f.nodes {
 		if one.isUp && (best == nil || best.hall.Serve().Stamp().IsBefore(one.hall.Serve().Stamp())) {
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -23,9 +23,13 @@
 	counts  map[string]int64
 	remotes []*caller
 	isGone  bool
+	beta    float64
 }
 
 func (n *node) start() {
+	if n.isUp {
+		return
+	}
 	n.isUp, n.isFrozen, n.backlog = true, false, nil
 	n.births++
 	n.counts = map[string]int64{}
@@ -87,6 +91,9 @@
 	on(func(n *node, _ hall.Report) { n.do(20*time.Millisecond, n.tell) })
 	on(func(n *node, turned hall.Turned) {
 		after := turned.Moved.After
+		if after.Phase != view.PhaseOpen {
+			n.fleet.ambush()
+		}
 		n.world.note("%s holds %s: term %d %s at %s", n.name, turned.Moved.Database, after.Term, after.Phase, after.Primary)
 	})
 	on(func(n *node, shown hall.Shown) { n.world.note("%s serves under %d", n.name, shown.Sequence) })
@@ -270,7 +277,7 @@
 			count++
 		}
 	}
-	n.step(func(now time.Duration) { n.hall.Beat(count, 1, now) })
+	n.step(func(now time.Duration) { n.hall.Beat(count, n.beta, now) })
 }
 
 func (n *node) seek(seek hall.Seek) {
--- a/proof/sim/trouble.go
+++ b/proof/sim/trouble.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"tansyseam.example/pooler/state/view"
 )
 
 func (f *fleet) watchPrimacy(until time.Duration) {
@@ -130,7 +132,7 @@
 		}
 		span := time.Duration(0)
 		for _, one := range f.nodes {
-			f.world.after(span, func() { one.stop(300 * time.Millisecond) })
+			f.still(span, func() { one.stop(300 * time.Millisecond) })
 			span += 1200 * time.Millisecond
 		}
 	}},
@@ -161,6 +163,59 @@
 		f.rush = 8
 		f.world.after(span, func() { f.rush = 1 })
 	}},
+	{"node added", func(f *fleet, _ time.Duration) {
+		if len(f.nodes) < f.shape.Nodes+2 {
+			f.addNode().start()
+		}
+	}},
+	{"node replaced", func(f *fleet, span time.Duration) {
+		if len(f.nodes) >= f.shape.Nodes+2 || len(f.removed) > 1 {
+			return
+		}
+		old := pick(f, f.nodes)
+		if old.isUp && !f.removed[old.name] {
+			f.removed[old.name] = true
+			old.crash()
+			f.world.after(span, f.addNode().start)
+		}
+	}},
+	{"weights changed", func(f *fleet, span time.Duration) {
+		one := pick(f, f.nodes)
+		one.beta = 0.5 + 3.5*f.world.random.Float64()
+		f.world.after(span, func() { one.beta = 1 })
+	}},
+	{"links slow", func(f *fleet, span time.Duration) {
+		f.world.lag = f.world.between(20*time.Millisecond, 250*time.Millisecond)
+		f.world.after(span, func() { f.world.lag = 0 })
+	}},
+	{"replica hears nothing, primary dies", func(f *fleet, span time.Duration) {
+		database := pick(f, f.databases)
+		primary := f.primaryOf(database)
+		if primary == nil {
+			return
+		}
+		for _, lone := range f.instances {
+			if lone.database == database && lone != primary {
+				f.cut([2]string{primary.name, lone.name}, span)
+				break
+			}
+		}
+		f.still(f.world.between(0, 2*time.Second), func() { f.bounce(&primary.machine, primary.start, span) })
+	}},
+	{"instances replaced in turn", func(f *fleet, _ time.Duration) {
+		if f.isReplacing {
+			return
+		}
+		f.isReplacing = true
+		wait := time.Duration(0)
+		database := pick(f, f.databases)
+		for _, one := range f.instances {
+			if one.database == database {
+				f.still(wait, func() { f.replace(one) })
+				wait += 9 * time.Second
+			}
+		}
+	}},
 	{"one-way cut", func(f *fleet, span time.Duration) {
 		way := [2]string{pick(f, f.nodes).name, pick(f, f.controls).name}
 		if f.world.chance(0.5) {
@@ -199,13 +254,13 @@
 		f.bounce(&one.machine, one.start, span)
 	}},
 	{"primary crash", func(f *fleet, span time.Duration) {
-		one := f.instanceBy(f.nodes[0].hall.Serve().Writer(f.databases[0]).Primary)
+		one := f.primaryOf(pick(f, f.databases))
 		if one != nil {
 			f.bounce(&one.machine, one.start, span)
 		}
 	}},
 	{"primary freeze", func(f *fleet, span time.Duration) {
-		one := f.instanceBy(f.nodes[0].hall.Serve().Writer(f.databases[0]).Primary)
+		one := f.primaryOf(pick(f, f.databases))
 		if one != nil {
 			one.freeze()
 			f.world.after(span, one.thaw)
@@ -270,6 +325,10 @@
 		f.platform.isLoose = true
 		f.world.after(span, func() { f.platform.isLoose = false })
 	}},
+	{"platform acts late", func(f *fleet, span time.Duration) {
+		f.platform.wait = f.world.between(2*time.Second, 7*time.Second)
+		f.world.after(span, func() { f.platform.wait = 0 })
+	}},
 	{"platform cut off", func(f *fleet, span time.Duration) {
 		f.platform.isCut = true
 		f.world.after(span, func() { f.platform.isCut = false })
@@ -308,17 +367,110 @@
 			longest = f.shape.Longest
 		}
 		span := f.world.between(100*time.Millisecond, longest)
-		f.world.note("trouble: %s for %v", next.name, span)
-		next.act(f, span)
+		f.bring(next, span)
 		f.world.after(f.world.between(200*time.Millisecond, 2500*time.Millisecond), act)
 	}
 	act()
 }
 
+// bring brings a trouble about, and counts in which phases it met the fleet.
+func (f *fleet) bring(next trouble, span time.Duration) {
+	f.world.note("trouble: %s for %v", next.name, span)
+	for _, phase := range f.phases() {
+		f.met[next.name+" / "+phase]++
+	}
+	next.act(f, span)
+}
+
+// Phases in which a trouble may meet a fleet.
+var Phases = []string{view.PhaseOpen, view.PhaseClosing, view.PhaseClosed, view.PhaseIntent, "epoch change", "set pending", "node stopping"}
+
+// TroubleNames lists the troubles.
+func TroubleNames() []string {
+	var names []string
+	for _, one := range troubles {
+		names = append(names, one.name)
+	}
+	return names
+}
+
+func (f *fleet) phases() []string {
+	var held []string
+	isSettled := false
+	for _, disk := range f.controls {
+		if !disk.isUp || !disk.isPrimary() {
+			continue
+		}
+		isSettled = true
+		doc := disk.steer.Doc()
+		for _, database := range f.databases {
+			if phase := doc.Writers[database].Phase; phase != "" && !slices.Contains(held, phase) {
+				held = append(held, phase)
+			}
+		}
+		if doc.IsPending() {
+			held = append(held, "set pending")
+		}
+	}
+	if !isSettled {
+		held = append(held, "epoch change")
+	}
+	if slices.ContainsFunc(f.nodes, func(n *node) bool { return n.isGone }) {
+		held = append(held, "node stopping")
+	}
+	return held
+}
+
+// ambush brings a further trouble about soon after a writer role has begun
+// to move, so that pairs come up which chance alone seldom draws.
+func (f *fleet) ambush() {
+	if f.ambushes == 0 || !f.world.chance(0.25) {
+		return
+	}
+	f.ambushes--
+	f.still(f.world.between(0, 600*time.Millisecond), func() {
+		f.bring(pick(f, troubles), f.world.between(100*time.Millisecond, 4*time.Second))
+	})
+}
+
+// still does what a trouble has yet in store, unless all is mended by then.
+func (f *fleet) still(span time.Duration, act func()) {
+	f.world.after(span, func() {
+		if !f.isMended {
+			act()
+		}
+	})
+}
+
+func (f *fleet) primaryOf(database string) *instance {
+	return f.instanceBy(f.nodes[0].hall.Serve().Writer(database).Primary)
+}
+
+func (f *fleet) replace(one *instance) {
+	for _, other := range f.instances {
+		if other.database == one.database && (!other.isUp || other.isFrozen) {
+			return
+		}
+	}
+	one.leaving = int64(f.world.now)
+	f.still(4*time.Second, func() {
+		writer := f.nodes[0].hall.Serve().Writer(one.database)
+		if _, isAlone := writer.Candidates[one.name]; writer.Primary == one.name || (isAlone && len(writer.Candidates) < 2) {
+			one.leaving = 0
+			return
+		}
+		one.leaving = 0
+		f.bounce(&one.machine, one.start, time.Second)
+		one.wipe()
+		one.upstream = f.instanceBy(writer.Primary)
+	})
+}
+
 func (f *fleet) mend() {
+	f.isMended = true
 	f.world.note("all is mended")
 	f.world.cuts = map[[2]string]bool{}
-	f.world.drop, f.rush = 0, 1
+	f.world.drop, f.world.lag, f.rush = 0, 0, 1
 	f.platform.wait, f.platform.refusals, f.platform.isCut = 0, 0, false
 	f.platform.isLoose = false
 	for _, disk := range f.controls {
@@ -330,7 +482,7 @@
 	}
 	for _, one := range f.nodes {
 		one.thaw()
-		if !one.isUp {
+		if !one.isUp && !f.removed[one.name] {
 			one.start()
 		}
 	}
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -39,6 +39,7 @@
 	random *rand.Rand
 	cuts   map[[2]string]bool
 	drop   float64
+	lag    time.Duration
 	trace  hash.Hash
 	log    func(format string, parts ...any)
 }
@@ -166,5 +167,5 @@
 		return
 	}
 	life := to.life
-	w.after(w.between(200*time.Microsecond, 2500*time.Microsecond), func() { to.enter(life, act) })
+	w.after(w.lag+w.between(200*time.Microsecond, 2500*time.Microsecond), func() { to.enter(life, act) })
 }
