Let a term move on to the replicas it opened with, if they hold all it began with

Cause: a new term opened with no candidate; for about 1 s, until replicas were settled, the loss of its primary left nothing to promote, though a replica that held everything was there. Writes on that database then waited until somebody brought the lost primary's data back. Ruled out: the case where a replica is behind the term's beginning; that one is still not promoted. Reasoning: each node that confirms in a term has its opening record, so every commit there waits for all replicas it opened with; and none is promoted short of the record's high, the position at which the term began, up to which the term before may still be called kept. Conclusion: who may be promoted follows from who was waited for, from the first commit on.

--- a/pooler/coordination/failover/failover.go
+++ b/pooler/coordination/failover/failover.go
@@ -139,6 +139,7 @@
 	if len(writer.Required) == 0 {
 		return nil
 	}
+	writer.Candidates = maps.Clone(writer.Required)
 	return []any{Record{Writer: writer, What: "writer role known", Evidence: fmt.Sprintf("%s announces itself primary of term %d", primary.Name, primary.Term)}}
 }
 
@@ -347,6 +348,7 @@
 		if len(writer.Required) == 0 {
 			return explain(at, "promoted, but no replica can be heard: commits could not be made safe")
 		}
+		writer.Candidates = maps.Clone(writer.Required)
 		return []any{Record{Writer: writer, What: "new term open", Evidence: fmt.Sprintf("%s announces itself primary of term %d", instance.Name, instance.Term)}}
 	}
 	waited := time.Duration(at.Wall - at.Writer.Since)
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -246,13 +246,14 @@
 // FreshAt gives the latest moment up to which a replica is known to hold
 // everything confirmed: that of the last look at the primary whose position
 // it has reached. While a term is closed nothing is confirmed, and every
-// candidate holds all that was.
+// candidate at or past what was confirmed before the term holds all that was.
 func (m *Machine) FreshAt(name string, now time.Duration) time.Duration {
 	held := m.Sight(name)
 	database := held.Info.Database
 	writer := m.doc.Writers[database]
 	isShut := writer.Phase == view.PhaseClosed || writer.Phase == view.PhaseIntent
-	if birth, isCandidate := writer.Candidates[name]; isShut && isCandidate && birth == held.Info.Birth {
+	birth, isCandidate := writer.Candidates[name]
+	if isShut && isCandidate && birth == held.Info.Birth && !held.Position.IsBefore(writer.High) {
 		return now
 	}
 	list := m.samples[database]
