Hold the product's windows to the paper's equations, reckoned a second time

Cause: that windows follow the two equations on the ordinary path was shown for the window alone, not for nodes at work. Ruled out on the way: takes before the first clock event, and requests given up early (their age counts as latency, by our rule), which made the first mirrors differ.

--- a/pooler/coordination/hall/hall.go
+++ b/pooler/coordination/hall/hall.go
@@ -216,6 +216,14 @@
 // Go is the id of the request's go.
 func (j *Job) Go() string { return j.op.Go }
 
+// Instance names where the request was passed on to.
+func (j *Job) Instance() string {
+	if j.back == nil {
+		return ""
+	}
+	return j.back.sight.Info.Name
+}
+
 func (j *Job) isLasting() bool {
 	return j.op.Act == ActCommit || (j.op.Act == ActRun && j.op.IsWrite && !j.isInside)
 }
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -196,7 +196,7 @@
 	}
 	life, session := home.life, c.session
 	bound := time.Duration(0)
-	if c.random.IntN(12) == 0 {
+	if !c.fleet.isMirrored && c.random.IntN(12) == 0 {
 		bound = time.Duration(5+c.random.IntN(400)) * time.Millisecond
 		event.DeadMS = bound.Milliseconds()
 	}
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -95,6 +95,10 @@
 	met       map[string]int
 	ambushes  int
 
+	isMirrored bool
+	moves      int
+	widest     float64
+
 	isReplacing bool
 	isMended    bool
 }
@@ -316,7 +320,7 @@
 	w.runUntil(start + 5500*time.Millisecond)
 	f.startCallers(seed)
 	calm := w.now
-	w.runUntil(calm + 2*time.Second)
+	w.runUntil(calm + 3*time.Second)
 	before := w.now
 	if shape.Script != nil {
 		shape.Script(f)
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -24,6 +24,7 @@
 	remotes []*caller
 	isGone  bool
 	beta    float64
+	mirrors map[string]*mirror
 }
 
 func (n *node) start() {
@@ -35,7 +36,7 @@
 	n.counts = map[string]int64{}
 	place := hall.Place{Name: n.name, Zone: n.zone, Birth: fmt.Sprint(n.births), Beta: 1}
 	n.hall = hall.New(place, hall.DefaultTiming(), func(name string, by int64) { n.counts[name] += by })
-	n.conns = nil
+	n.conns, n.mirrors = nil, map[string]*mirror{}
 	n.world.note("%s up", n.name)
 	n.do(time.Millisecond, n.ask)
 	n.do(20*time.Millisecond, n.beat)
@@ -75,10 +76,14 @@
 		n.later(200*time.Microsecond, func(now time.Duration) { n.hall.Join(admit.Job, now) })
 	})
 	on(func(n *node, forward hall.Forward) {
+		if held := n.mirrorOf(forward.Job.Instance()); held != nil {
+			held.take()
+		}
 		n.later(300*time.Microsecond, func(now time.Duration) { n.hall.Pass(forward.Job, now) })
 	})
 	on(func(n *node, send hall.Send) {
-		n.do(n.world.between(0, 100*time.Microsecond), func() { n.send(send) })
+		sent := n.clock()
+		n.do(n.world.between(0, 100*time.Microsecond), func() { n.send(send, sent) })
 	})
 	on(func(n *node, open hall.Open) { n.open(open) })
 	on(func(_ *node, shut hall.Shut) {
@@ -99,7 +104,7 @@
 	on(func(n *node, shown hall.Shown) { n.world.note("%s serves under %d", n.name, shown.Sequence) })
 }
 
-func (n *node) send(send hall.Send) {
+func (n *node) send(send hall.Send, sent time.Duration) {
 	c := send.Wire.Link.(*conn)
 	isOver := false
 	c.request(send.Op, func(reply hall.Reply, isBroken bool) {
@@ -109,10 +114,15 @@
 		isOver = true
 		isAgain := isBroken && n.fleet.plant.IsResending && !c.isReset
 		if isAgain {
-			n.send(send)
+			n.send(send, sent)
 			return
 		}
-		n.step(func(now time.Duration) { n.hall.Answered(send.Job, reply, isBroken, now) })
+		n.step(func(now time.Duration) {
+			n.hall.Answered(send.Job, reply, isBroken, now)
+			if held := n.mirrorOf(c.inst.name); held != nil {
+				held.done(now - sent)
+			}
+		})
 	})
 }
 
@@ -277,7 +287,10 @@
 			count++
 		}
 	}
-	n.step(func(now time.Duration) { n.hall.Beat(count, n.beta, now) })
+	n.step(func(now time.Duration) {
+		n.hall.Beat(count, n.beta, now)
+		n.mirrorBeat(now)
+	})
 }
 
 func (n *node) seek(seek hall.Seek) {
