Believe an instance that has gone back behind where it stood

Cause: a node kept the furthest position it ever heard of an instance's data. One that lost its tail without saying so (same birth, same term) went on counting as holding commits that it no longer had, for confirmations and for fresh reads. Weighed: believing every lower position, which a late announcement would trigger for nothing. Change: an answer to a look that was asked after the position last rose is believed where it is lower.

--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -34,6 +34,13 @@
 	Position  view.Position
 	Announced time.Duration
 	Answered  time.Duration
+	rose      time.Duration
+}
+
+func (s *Sight) raise(position view.Position, now time.Duration) {
+	if s.Position.IsBefore(position) {
+		s.Position, s.rose = position, now
+	}
 }
 
 // Machine is one node's knowledge.
@@ -112,15 +119,16 @@
 func (m *Machine) Announced(info view.Instance, now time.Duration) {
 	held := m.Sight(info.Name)
 	if held.Info.Birth != info.Birth {
-		held.Position = info.Position
+		held.Position, held.rose = info.Position, now
 	}
-	held.Position = held.Position.Later(info.Position)
+	held.raise(info.Position, now)
 	held.Info, held.Announced = info, now
 }
 
 // Looked takes an instance's answer on where it stands; sent is when it was
 // asked. Everything that was confirmed before then lies at or before the
-// position that the primary gives.
+// position that the primary gives. An instance that stands behind where it
+// stood before it was asked has gone back, and is believed.
 func (m *Machine) Looked(name string, info view.Instance, sent, now time.Duration) bool {
 	held := m.Sight(name)
 	held.Answered = now
@@ -128,7 +136,10 @@
 		return false
 	}
 	isTurned := held.Info.Role != info.Role || held.Info.Term != info.Term || held.Info.IsLeaving != info.IsLeaving
-	held.Position = held.Position.Later(info.Position)
+	if held.rose < sent && info.Position.IsBefore(held.Position) {
+		held.Position = info.Position
+	}
+	held.raise(info.Position, now)
 	held.Info.Role, held.Info.Term, held.Info.Position, held.Info.IsLeaving = info.Role, info.Term, held.Position, info.IsLeaving
 	database := held.Info.Database
 	writer := m.doc.Writers[database]
