Refuse announcements of a foreign database, and drop marks that tell of none

Cause: an announcement under a known instance's name for another database was taken in part: lines stayed with the first database, freshness and role went to the second. A mark is the caller's to send and was kept whole, up to 1 MiB, copied into every answer. Change: such an announcement is answered 409, counted as announcements_foreign, and changes nothing; of a mark only databases that the node knows are kept, which are all that have a writer on record before the node is ready. Before: both taken. After: run:calls sends both; it passes with real processes.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -277,6 +277,11 @@
 	}
 	n.mutex.Lock()
 	before, isKnown := n.instances[instance.Name]
+	if isKnown && instance.IsForeign(before.Instance) {
+		n.mutex.Unlock()
+		n.Counts.Add("announcements_foreign", 1)
+		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to database " + before.Instance.Database)
+	}
 	now := n.Now()
 	heard := &Heard{Instance: instance, At: now}
 	n.instances[instance.Name] = heard
--- a/pooler/cmd/plane/door.go
+++ b/pooler/cmd/plane/door.go
@@ -133,7 +133,7 @@
 	if !isIn {
 		return statusOf(told), refusalOf(told)
 	}
-	return http.StatusOK, map[string]any{"session": opened.Session, "mark": sealMark(marks), "sequence": opened.Sequence}
+	return http.StatusOK, map[string]any{"session": opened.Session, "mark": sealMark(opened.Marks), "sequence": opened.Sequence}
 }
 
 func (p *Plane) closeSession(body *fastjson.Value, _ []byte, _ *http.Request) (int, any) {
--- a/pooler/coordination/hall/consumers.go
+++ b/pooler/coordination/hall/consumers.go
@@ -14,6 +14,8 @@
 type Opened struct {
 	Session  string
 	Sequence uint64
+	// Marks are those given that tell of databases known here.
+	Marks map[string]view.Position
 }
 
 func refuse(cause string, retry time.Duration, text string, parts ...any) Result {
@@ -33,16 +35,18 @@
 		return Opened{}, refuse(CauseNoBinding, 0, "no binding %q in sequence %d", binding, set.Sequence), false
 	}
 	m.ids++
-	made := &consumer{id: m.goes.Session(m.ids), binding: binding, remote: remote, marks: maps.Clone(marks), used: now}
-	if made.marks == nil {
-		made.marks = map[string]view.Position{}
+	made := &consumer{id: m.goes.Session(m.ids), binding: binding, remote: remote, marks: map[string]view.Position{}, used: now}
+	for database, position := range marks {
+		if _, isKnown := m.names.Find(database); isKnown {
+			made.marks[database] = position
+		}
 	}
 	m.consumers[made.id] = made
 	m.roll = append(m.roll, made)
 	m.remotes[remote] = append(m.remotes[remote], made)
 	m.goes.Open(made.id)
 	m.count("consumers_opened", 1)
-	return Opened{Session: made.id, Sequence: set.Sequence}, Result{}, true
+	return Opened{Session: made.id, Sequence: set.Sequence, Marks: maps.Clone(made.marks)}, Result{}, true
 }
 
 func (m *Machine) spread(step time.Duration) time.Duration {
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -49,6 +49,12 @@
 	Slots       int      `json:"slots"`
 }
 
+// IsForeign says whether an announcement contradicts an earlier one of the
+// same name: an instance never changes its database.
+func (i Instance) IsForeign(before Instance) bool {
+	return before.Name == i.Name && before.Database != i.Database
+}
+
 // Kinds of node.
 const (
 	KindData    = "seamd"
--- a/proof/fleet/outside.go
+++ b/proof/fleet/outside.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -148,6 +149,15 @@
 	check("/v1/statement", with("kind", "read", "text", "look "+probe), http.StatusNotFound)
 	check("/v1/session/open", map[string]any{"binding": "nowhere"}, http.StatusNotFound)
 	check("/v1/session/open", map[string]any{"binding": binding, "mark": "!!"}, http.StatusBadRequest)
+	made := base64.RawURLEncoding.EncodeToString([]byte(`{"nowhere":{"term":9,"index":9},"` + r.database() + `":{"term":99,"index":1}}`))
+	opened := check("/v1/session/open", map[string]any{"binding": binding, "mark": made}, http.StatusOK)
+	if kept, _ := base64.RawURLEncoding.DecodeString(fmt.Sprint(opened["mark"])); strings.Contains(string(kept), "nowhere") {
+		r.Miss("a mark of a database that nobody knows was kept: %s", kept)
+	}
+	check("/v1/announce", map[string]any{
+		"instance": r.database() + "-b", "database": "elsewhere", "address": "127.0.0.1:9", "zone": "za", "role": "primary", "birth": "x",
+		"term": 1, "position": map[string]any{"term": 1, "index": 1}, "leaving": false, "connections": 1, "slots": 1,
+	}, http.StatusConflict)
 	check("/v1/bindings/put", map[string]any{"id": "stale", "expected": 0, "bindings": r.Shape.Mix.Bindings()}, http.StatusConflict)
 	check("/v1/changes/book", map[string]any{"id": "late", "at_ms": 5, "bindings": r.Shape.Mix.Bindings()}, http.StatusUnprocessableEntity)
 }
