Wait no more for a replica struck for lag until 6 s have passed

Cause: a replica that replays in bursts stands near its primary just after each, so 45 ms after commits had stopped waiting for it they waited again, each time up to 0.7 s before it was struck anew. Ruled out: a smaller bound of nearness; right after a burst the distance is nothing. Change: a replica struck for lag is shunned for 6 s, by the record's clock, while all candidates are well; if one is lost it is waited for at once.

--- a/pooler/coordination/failover/failover.go
+++ b/pooler/coordination/failover/failover.go
@@ -71,6 +71,8 @@
 	Near    uint64
 	Hold    time.Duration
 	Patient time.Duration
+	// Shun is how long a replica struck for lag is not waited for.
+	Shun time.Duration
 }
 
 // DefaultTiming gives the project's bounds.
@@ -78,6 +80,7 @@
 	return Timing{
 		Silence: 1500 * time.Millisecond, Look: 900 * time.Millisecond,
 		Again: 1500 * time.Millisecond, Lag: 400, Near: 60, Hold: 700 * time.Millisecond, Patient: time.Second,
+		Shun: 6 * time.Second,
 	}
 }
 
@@ -224,12 +227,20 @@
 		birth := writer.Required[name]
 		if _, isCandidate := writer.Candidates[name]; fit[name] != birth && !isCandidate && len(writer.Required) > 1 {
 			delete(writer.Required, name)
+			if sight, isSeen := at.find(name); isSeen && canJudge && sight.Lagging > timing.Hold {
+				if writer.Shunned == nil {
+					writer.Shunned = map[string]int64{}
+				}
+				writer.Shunned[name] = at.Wall + int64(timing.Shun)
+			}
 			return []any{Record{Writer: writer, What: "commits no longer wait for a replica", Evidence: name + " gone, reborn or behind"}}
 		}
 	}
 	for _, name := range names(fit) {
 		birth := fit[name]
-		if writer.Required[name] != birth {
+		left := time.Duration(writer.Shunned[name] - at.Wall)
+		isShunned := left > 0 && left <= timing.Shun && unfit == ""
+		if writer.Required[name] != birth && !isShunned {
 			writer.Required[name] = birth
 			return []any{Record{Writer: writer, What: "commits wait for a replica", Evidence: name + " is back and near"}}
 		}
--- a/pooler/coordination/failover/failover_test.go
+++ b/pooler/coordination/failover/failover_test.go
@@ -183,7 +183,17 @@
 		So(struck.Candidates, ShouldResemble, map[string]string{"b": "b-1"})
 		So(struck.Required, ShouldContainKey, "c")
 		at.Writer = struck
-		So(next(at).Required, ShouldResemble, map[string]string{"b": "b-1"})
+		struck = next(at)
+		So(struck.Required, ShouldResemble, map[string]string{"b": "b-1"})
+		at = open()
+		at.Writer, at.Wall = struck, int64(5*time.Second)
+		So(Step(at, DefaultTiming()), ShouldBeEmpty)
+		at.Wall = int64(7 * time.Second)
+		So(next(at).Required, ShouldContainKey, "c")
+		at.Wall = int64(5 * time.Second)
+		at.Sights[1].Instance.Birth = "b-2"
+		at.Writer = next(at)
+		So(next(at).Required, ShouldContainKey, "c")
 	})
 	Convey("Where no replica keeps up, or the primary is not heard, none is struck for lag", t, func() {
 		at := open()
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -139,6 +139,9 @@
 	Required map[string]string
 	// Candidates may be promoted: every node has waited on them.
 	Candidates map[string]string
+	// Shunned replicas were struck for lag; commits do not wait for them again
+	// before the moment given.
+	Shunned map[string]int64
 	// Intent names the replica for which the one promote call goes out.
 	Intent string
 	// High is the furthest position reported as confirmed.
@@ -224,5 +227,6 @@
 func CloneWriter(w Writer) Writer {
 	w.Required = maps.Clone(w.Required)
 	w.Candidates = maps.Clone(w.Candidates)
+	w.Shunned = maps.Clone(w.Shunned)
 	return w
 }
