--- a/pooler/coordination/hall/hall_test.go
+++ b/pooler/coordination/hall/hall_test.go
@@ -15,8 +15,6 @@
 	"tansyseam.example/pooler/state/view"
 )
 
-// rig is a node with two databases of one primary and one replica each. It
-// carries out effects at once, but for those held back.
 type rig struct {
 	*Machine
 	now    time.Duration
--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -162,8 +162,6 @@
 	Held time.Duration
 }
 
-// wander is by how many hundredths the primary's clock may run apart from
-// the node's: drift of both, and the primary's own moving of it.
 const wander = 2
 
 // MostDoubt is how far the reckoning of the primary's clock may be out for a
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -29,8 +29,6 @@
 	prepared string
 	random   *rand.Rand
 	cut      func()
-	// isReader callers only look, so that no mark of their own hides how
-	// fresh their reads are.
 	isReader bool
 	isReset  bool
 }
@@ -147,8 +145,6 @@
 
 const patience = 6500 * time.Millisecond
 
-// ask sends one request and notes what came of it; done is told the event
-// and whether the session still stands.
 func (c *caller) ask(event stand.Event, op hall.Op, done func(stand.Event, bool)) {
 	f := c.fleet
 	isOver := false
@@ -367,8 +363,6 @@
 	})
 }
 
-// walkedOff notes a transaction that its caller left without a commit:
-// nothing of it may be kept.
 func (f *fleet) walkedOff(c *caller, gos []string) {
 	event := c.event("rollback", "", "")
 	event.Gos, event.Got, event.Outcome = gos, int64(c.world.now), "left"
--- a/proof/sim/conn.go
+++ b/proof/sim/conn.go
@@ -11,8 +11,6 @@
 	"tansyseam.example/proof/stand"
 )
 
-// conn is one TCP connection of a node to an instance: what is sent arrives
-// in order, late where pieces are lost, and not at all once it is reset.
 type conn struct {
 	node     *node
 	nodeLife int
@@ -134,7 +132,6 @@
 	}
 }
 
-// shut closes the node's end: what was sent before still arrives.
 func (c *conn) shut() {
 	c.lose()
 	c.push(&c.to, &c.node.machine, &c.inst.machine, c.instLife, c.reset)
@@ -175,8 +172,6 @@
 	}
 }
 
-// probe is TCP's own keep-alive: it finds a connection dead on which nothing
-// is under way.
 func (c *conn) probe() {
 	if c.waiting != nil {
 		c.node.world.after(time.Second, c.probe)
--- a/proof/sim/mirror.go
+++ b/proof/sim/mirror.go
@@ -5,8 +5,6 @@
 	"time"
 )
 
-// mirror reckons one window again from the latencies that the simulator's own
-// connections saw, by the paper's two equations, written here a second time.
 type mirror struct {
 	cal, w, beta, most float64
 	turn               time.Duration
@@ -57,8 +55,6 @@
 	x.sum, x.count, x.isFull = 0, 0, x.open >= int(x.w+1e-9)
 }
 
-// mirrorOf gives the mirror of an instance's window, made when it is first
-// met; nil where the fleet is not mirrored.
 func (n *node) mirrorOf(name string) *mirror {
 	reading, isMet := n.hall.Window(name)
 	if !n.fleet.isMirrored || !isMet {
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -335,8 +335,6 @@
 
 const finishBound = 5500 * time.Millisecond
 
-// stop is a planned stop: the node drains, leaves its record to an heir, and
-// starts again after a span.
 func (n *node) stop(span time.Duration) {
 	if !n.isUp || n.isFrozen || n.isGone {
 		return
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -23,8 +23,6 @@
 	return results
 }
 
-// onlyWithoutRace leaves a test to the run without the race detector: each
-// simulated fleet has one thread, so a few of them show all it can find.
 func onlyWithoutRace(t *testing.T) {
 	if isRace {
 		t.Skip("played without the race detector")
--- a/proof/sim/trouble.go
+++ b/proof/sim/trouble.go
@@ -376,7 +376,6 @@
 	act()
 }
 
-// bring brings a trouble about, and counts in which phases it met the fleet.
 func (f *fleet) bring(next trouble, span time.Duration) {
 	f.world.note("trouble: %s for %v", next.name, span)
 	for _, phase := range f.phases() {
@@ -424,8 +423,6 @@
 	return held
 }
 
-// ambush brings a further trouble about soon after a writer role has begun
-// to move, so that pairs come up which chance alone seldom draws.
 func (f *fleet) ambush() {
 	if f.ambushes == 0 || !f.world.chance(0.25) {
 		return
@@ -436,7 +433,6 @@
 	})
 }
 
-// still does what a trouble has yet in store, unless all is mended by then.
 func (f *fleet) still(span time.Duration, act func()) {
 	f.world.after(span, func() {
 		if !f.isMended {
@@ -449,8 +445,6 @@
 	return f.instanceBy(f.nodes[0].hall.Serve().Writer(database).Primary)
 }
 
-// isSound says whether a database could bear to lose one more instance: its
-// primary serves, and every replica has what the primary's term began with.
 func (f *fleet) isSound(database string) bool {
 	writer := f.nodes[0].hall.Serve().Writer(database)
 	primary := f.instanceBy(writer.Primary)
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -87,8 +87,6 @@
 	drift    float64
 	skew     time.Duration
 	zone     string
-	// isVanished says that nobody answers for the machine while it is down:
-	// connections to it are not reset but silent.
 	isVanished bool
 	crashed    func(isVanished bool)
 	freezes    int
@@ -149,7 +147,6 @@
 	}
 }
 
-// stream is a send over a connection that makes good what the link loses.
 func (w *world) stream(from, to *machine, act func()) {
 	trip := w.between(200*time.Microsecond, 2500*time.Microsecond)
 	if w.drop > 0 && w.chance(w.drop) {
