--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -78,15 +78,15 @@
 func (w *world) chance(part float64) bool { return w.random.Float64() < part }
 
 type machine struct {
-	world    *world
-	name     string
-	isUp     bool
-	isFrozen bool
-	life     int
-	backlog  []func()
-	drift    float64
-	skew     time.Duration
-	zone     string
+	world      *world
+	name       string
+	isUp       bool
+	isFrozen   bool
+	life       int
+	backlog    []func()
+	drift      float64
+	skew       time.Duration
+	zone       string
 	isVanished bool
 	crashed    func(isVanished bool)
 	freezes    int
