Let the real callers prepare statements of one name with many texts

Cause: only the simulated callers used prepared statements; in real runs nothing showed whose text was run.

--- a/proof/stand/callers.go
+++ b/proof/stand/callers.go
@@ -177,12 +177,13 @@
 	random   *rand.Rand
 	think    time.Duration
 
-	client  *http.Client
-	door    string
-	session string
-	mark    string
-	count   int
-	setting string
+	client   *http.Client
+	door     string
+	session  string
+	mark     string
+	count    int
+	setting  string
+	prepared string
 }
 
 type answer struct {
@@ -234,7 +235,7 @@
 		pause(ctx, time.Duration(max(got.RetryMS, 100)+c.random.Int64N(200))*time.Millisecond)
 		return false
 	}
-	c.session, c.setting = got.Session, ""
+	c.session, c.setting, c.prepared = got.Session, "", ""
 	return true
 }
 
@@ -291,7 +292,7 @@
 	}
 	isOn := err == nil && !got.IsClosed && status != http.StatusNotFound
 	if !isOn {
-		c.session, c.setting = "", ""
+		c.session, c.setting, c.prepared = "", "", ""
 	}
 	return event, isOn
 }
@@ -318,6 +319,18 @@
 			return
 		}
 	}
+	if c.prepared == "" && c.random.Float64() < c.role.States {
+		text := c.text("look", c.database+" prepared")
+		event, isOn := c.ask("prepare", "/v1/prepare", map[string]any{"name": "p", "text": text})
+		event.Text = ""
+		c.all.history.Add(event)
+		if isOn && event.Outcome == "done" {
+			c.prepared = text
+		}
+		if !isOn {
+			return
+		}
+	}
 	ways := []struct {
 		part float64
 		act  func(context.Context)
@@ -338,7 +351,16 @@
 }
 
 func (c *caller) read(ctx context.Context) {
-	event, _ := c.ask("read", "/v1/statement", map[string]any{"kind": "read", "text": c.text("look", c.database)})
+	body := map[string]any{"kind": "read", "text": c.text("look", c.database)}
+	prepared := c.prepared
+	isPrepared := prepared != "" && c.random.Float64() < 0.5
+	if isPrepared {
+		body = map[string]any{"kind": "read", "prepared": "p"}
+	}
+	event, _ := c.ask("read", "/v1/statement", body)
+	if isPrepared {
+		event.Text = prepared
+	}
 	c.all.history.Add(event)
 	c.comeBack(ctx, event)
 }
