Spare state that has lain idle for less than 800 ms, unless others wait as long

Cause: the test command failed once, with the machine kept busy by other work: in run:calls a session with a setting was closed between two of its own calls, since statements had waited 200 ms for want of processor time. Ruled out: the share; it was used up, but by sessions at work. Change: a session is closed for others' sake only if its state has lain idle for 800 ms, or for 200 ms once a statement has waited 800 ms.

--- a/pooler/coordination/hall/hall.go
+++ b/pooler/coordination/hall/hall.go
@@ -28,8 +28,10 @@
 	// Inside is how long a transaction may lie idle, Idle a consumer.
 	Inside, Idle time.Duration
 	// Shed is how long a statement waits for a connection before one is taken
-	// from the consumer whose state has lain idle there longest.
-	Shed time.Duration
+	// from the consumer whose state has lain idle there longest, and the least
+	// that it must have lain idle; Spare is how long it must have, unless the
+	// statement has waited that long.
+	Shed, Spare time.Duration
 	// RestFirst and RestMost bound the rest after a connection was refused.
 	RestFirst, RestMost time.Duration
 	// Line, Consumers and Seeks bound a line, the node's consumers, and the
@@ -41,7 +43,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Deadline: 5 * time.Second, Grace: 5 * time.Second, Reap: 10 * time.Second, Inside: 10 * time.Second,
-		Idle: 30 * time.Minute, Shed: 200 * time.Millisecond, RestFirst: 100 * time.Millisecond, RestMost: time.Second,
+		Idle: 30 * time.Minute, Shed: 200 * time.Millisecond, Spare: 800 * time.Millisecond, RestFirst: 100 * time.Millisecond, RestMost: time.Second,
 		Line: 4096, Consumers: 20000, Seeks: 64,
 	}
 }
--- a/pooler/coordination/hall/line.go
+++ b/pooler/coordination/hall/line.go
@@ -193,7 +193,11 @@
 	}
 	var oldest *consumer
 	for _, held := range target.pins {
-		isIdle := !held.isBusy && !held.isInside && now-held.used > m.timing.Shed
+		least := m.timing.Spare
+		if now-j.arrived > m.timing.Spare {
+			least = m.timing.Shed
+		}
+		isIdle := !held.isBusy && !held.isInside && now-held.used > least
 		if isIdle && (oldest == nil || held.used < oldest.used) {
 			oldest = held
 		}
