Let a simulated duty ask again when its record was never answered

The simulator's duty marked a case as being written and waited for an answer without bound; its control primary went down with it. The product's call has a bound of 2 s. Change: the same bound in the simulator.

--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -278,6 +278,7 @@
 	}
 	ask := steer.RecordCase{Before: at.Writer, IsKnown: at.IsKnown, After: record.Writer, What: record.What, Evidence: record.Evidence, By: c.name}
 	c.isAsked[at.Database] = true
+	c.do(2*time.Second, func() { c.isAsked[at.Database] = false })
 	c.world.send(&c.machine, &primary.machine, func() {
 		if !primary.isPrimary() {
 			return
