Count consumers for the vitals without reading every window; drop a flag nobody reads

Cause: /v1/vitals built what the node shows of each instance and line, under the one lock, only to count consumers; a connection's isReady was set and never read.

--- a/pooler/cmd/plane/door.go
+++ b/pooler/cmd/plane/door.go
@@ -106,10 +106,9 @@
 	depths := map[string]int{
 		p.bind.Name: p.bind.Depth(), p.admits.Name: p.admits.Depth(), p.forward.Name: p.forward.Depth(), p.answer.Name: p.answer.Depth(),
 	}
-	_, _, consumers := p.hall.Show(now)
 	return http.StatusOK, map[string]any{
 		"node": p.node.Place().Name, "is_ready": isReady, "why": why, "lease_ms": known.Left(now).Milliseconds(),
-		"epoch": known.Epoch(), "sequence": p.hall.Effective(now).Sequence, "sessions": consumers, "queues": depths,
+		"epoch": known.Epoch(), "sequence": p.hall.Effective(now).Sequence, "sessions": p.hall.Consumers(), "queues": depths,
 	}
 }
 
--- a/pooler/cmd/plane/drain.go
+++ b/pooler/cmd/plane/drain.go
@@ -67,13 +67,13 @@
 func (p *Plane) query(what string) []byte {
 	p.mutex.Lock()
 	now, known := p.now(), p.hall.Serve()
-	instances, lines, consumers := p.hall.Show(now)
+	instances, lines := p.hall.Show(now)
 	isReady, why := p.hall.Ready(now)
 	body := map[string]any{
 		"node": p.node.Place().Name, "kind": view.KindData, "what": what, "instances": instances, "lines": lines,
 		"writers": control.WritersOf(known.Doc()), "is_ready": isReady, "why": why, "lease_ms": known.Left(now).Milliseconds(),
 		"stamp": map[string]any{"epoch": known.Stamp().Epoch, "sequence": known.Stamp().Sequence},
-		"sets":  control.ListOf(p.node.Place().Name, known.Doc(), p.hall.Effective(now)), "sessions": consumers, "weight": p.node.Place().Weight,
+		"sets":  control.ListOf(p.node.Place().Name, known.Doc(), p.hall.Effective(now)), "sessions": p.hall.Consumers(), "weight": p.node.Place().Weight,
 	}
 	p.mutex.Unlock()
 	body["nodes"] = control.NodesOf(p.node)
--- a/pooler/coordination/hall/hall.go
+++ b/pooler/coordination/hall/hall.go
@@ -311,13 +311,12 @@
 // Wire is one connection to an instance.
 type Wire struct {
 	// Link belongs to whoever opened it.
-	Link    any
-	back    *back
-	term    uint64
-	birth   string
-	isOver  bool
-	isDead  bool
-	isReady bool
+	Link   any
+	back   *back
+	term   uint64
+	birth  string
+	isOver bool
+	isDead bool
 }
 
 type consumer struct {
@@ -628,7 +627,7 @@
 }
 
 // Show gives what the node shows to operators.
-func (m *Machine) Show(now time.Duration) (instances []Backed, lines []Lined, consumers int) {
+func (m *Machine) Show(now time.Duration) (instances []Backed, lines []Lined) {
 	instances, lines = []Backed{}, []Lined{}
 	for _, held := range m.backs {
 		instances = append(instances, Backed{
@@ -643,5 +642,8 @@
 			High: m.serve.High(one.name),
 		})
 	}
-	return instances, lines, len(m.consumers)
+	return instances, lines
 }
+
+// Consumers counts those that are let in.
+func (m *Machine) Consumers() int { return len(m.consumers) }
--- a/pooler/coordination/hall/wires.go
+++ b/pooler/coordination/hall/wires.go
@@ -46,7 +46,7 @@
 	}
 	m.count("sessions_opened", 1)
 	held.sight.Answered, held.rest = now, 0
-	wire.birth, wire.term, wire.isReady = reply.Birth, m.serve.Writer(one.name).Term, true
+	wire.birth, wire.term = reply.Birth, m.serve.Writer(one.name).Term
 	m.spare(wire)
 	m.pump(one, now)
 }
