--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -25,6 +25,11 @@
 	Answered  time.Duration
 	// Lagging is the longest that a commit here has waited for it.
 	Lagging time.Duration
+	// Refused counts the connections refused since it last answered, Overdue
+	// is the age of the oldest statement that is out while nothing was heard
+	// of it; both of synced instances only.
+	Refused int
+	Overdue time.Duration
 }
 
 // AskNews asks for news with the stamp held, and for a lease.
@@ -39,6 +44,17 @@
 	Shows uint64
 	// Via names the peer that passes the ask on.
 	Via string
+	// Roll is the newest roll of instances held.
+	Roll Roll
+	// Birth names the run of the asking program.
+	Birth int64
+}
+
+// Roll numbers the lists of instances that one tenure of the control primary
+// gives out.
+type Roll struct {
+	Tenure string
+	Number uint64
 }
 
 // Told brings reports beside an ask that is out.
@@ -57,6 +73,10 @@
 	// Held is how long the ask waited for its answer.
 	Held time.Duration
 	Doc  *view.Doc
+	// Roll numbers Instances, which is nil where the asker has that roll.
+	// What is not on it may still live; what has gone is marked so.
+	Roll      Roll
+	Instances []view.Instance
 }
 
 // Wait is the longest that an ask waits for news.
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -47,6 +47,14 @@
 	IsLeaving   bool     `json:"leaving"`
 	Connections int      `json:"connections"`
 	Slots       int      `json:"slots"`
+	// IsSynced says that the instance answers a commit only once a replica
+	// has received it, and speaks a line protocol (protocol/stream).
+	IsSynced bool `json:"synced,omitempty"`
+	// IsGone says that it has ended in good order.
+	IsGone bool `json:"gone,omitempty"`
+	// Calls rises with every announcement of an instance that counts them, so
+	// that a late one is known.
+	Calls uint64 `json:"calls,omitempty"`
 }
 
 // IsForeign says whether an announcement contradicts an earlier one of the
@@ -77,11 +85,39 @@
 	Left bool
 }
 
-// Binding pairs a database with how fresh its reads must be.
+// Binding pairs a database with how fresh its reads must be. What stands
+// below Freshness is of manifests only.
 type Binding struct {
 	Name      string        `json:"name"`
 	Database  string        `json:"database"`
 	Freshness time.Duration `json:"-"`
+	// IsOwn says that a session's reads also see all its own commits.
+	IsOwn bool `json:"-"`
+	// Timeout bounds a statement, Target is the operator's aim for an
+	// operation; Priority 0 ranks highest; Tries counts a statement's goes.
+	Timeout  time.Duration `json:"-"`
+	Target   time.Duration `json:"-"`
+	Priority int           `json:"-"`
+	Tries    int           `json:"-"`
+}
+
+// Database is what a manifest says of a database.
+type Database struct {
+	Name string
+	// Connections is the cap of each of its instances, over all nodes.
+	Connections int
+	// Synced is how many replicas must have received a commit before it is
+	// answered.
+	Synced int
+}
+
+// Limits are those that a manifest sets.
+type Limits struct {
+	// Message bounds a message, in bytes; 0 for none given.
+	Message int
+	// Idle and Inside bound how long a session may rest, outside and inside a
+	// transaction; 0 for none given.
+	Idle, Inside time.Duration
 }
 
 // Set is one whole sequence of bindings.
@@ -99,6 +135,20 @@
 	By string
 	// Source names the call or booking that brought it.
 	Source string
+	// Version is the operator's own number of a manifest, 0 for other sets.
+	Version   uint64
+	Databases []Database
+	Limits    Limits
+}
+
+// Database gives what a manifest says of a database.
+func (s Set) Database(name string) (Database, bool) {
+	for _, one := range s.Databases {
+		if one.Name == name {
+			return one, true
+		}
+	}
+	return Database{}, false
 }
 
 // Find gives a binding by name.
@@ -154,6 +204,14 @@
 	Since int64
 	// Calls counts promote calls sent for the intent.
 	Calls int
+	// IsSynced says that the instances themselves judge when a commit is safe.
+	// Floor is then, while the term is closed, a position that covers every
+	// commit ever told kept; Holder made the promote call under Fence, which
+	// rises whenever the holder changes.
+	IsSynced bool
+	Floor    Position
+	Holder   string
+	Fence    uint64
 }
 
 // Entry is one line of the fleet's own account of what it did.
@@ -180,6 +238,8 @@
 	KeyCall  = "call/"
 	KeyNode  = "node/"
 	KeyEntry = "entry/"
+	// KeyRaw holds a manifest's bytes as they were sent, by sequence.
+	KeyRaw = "raw/"
 )
 
 // DocOf reads the data plane's part out of the control state.
