Carry clients' line sessions to synced instances: pool, wire, sessions, platform

Cause: the platform's clients and instances speak a line protocol, with transactions held on connections, floors on reads and answers that tell positions.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/member"
+	"tansyseam.example/pooler/protocol/door"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/protocol/schema"
 	"tansyseam.example/pooler/state/view"
@@ -49,6 +50,9 @@
 	Hub     *link.Hub
 	Book    *schema.Book
 	Program string
+	// Translate, where given, turns calls of another manner into the
+	// product's.
+	Translate door.Translate
 
 	mutex     sync.Mutex
 	members   *member.Machine
@@ -81,7 +85,7 @@
 		Name: place.Name, Kind: kind, Zone: place.Zone, Link: place.AdvertiseLink, Door: place.AdvertiseDoor,
 		Birth: time.Now().UnixNano(), Version: link.Version, Weight: place.Weight,
 	}
-	n.members = member.New(self, place.Seeds, member.DefaultTiming())
+	n.members = member.New(self, place.SeedLinks(), member.DefaultTiming())
 	n.Serve("/v1/announce", n.onAnnounce)
 	n.Serve("/v1/counters", func(*fastjson.Value, []byte, *http.Request) (int, any) {
 		return http.StatusOK, map[string]any{"node": place.Name, "counters": n.Counts.Read()}
@@ -158,7 +162,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.place = place
-	n.members.Reseed(place.Seeds, place.Weight)
+	n.members.Reseed(place.SeedLinks(), place.Weight)
 }
 
 func (n *Node) step(event any) {
@@ -329,37 +333,56 @@
 		_, _ = w.Write(schema.File())
 		return
 	}
-	call, isKnown := n.calls[r.URL.Path]
-	if !isKnown {
-		n.Write(w, http.StatusNotFound, Refuse("no such call: "+r.URL.Path))
-		return
-	}
 	raw, isWhole := web.ReadBody(r)
 	if !isWhole {
 		n.Counts.Add("calls_oversized", 1)
 		n.Write(w, http.StatusRequestEntityTooLarge, Refuse("body too large"))
 		return
 	}
-	body, faults := n.Book.Request(r.URL.Path, raw)
+	path := r.URL.Path
+	turn := func(status int, answer []byte) (int, []byte) { return status, answer }
+	if n.Translate != nil {
+		if told, isOne := n.Translate(r.Method, path, raw); isOne {
+			path, raw = told.Path, told.Body
+			if told.Answer != nil {
+				turn = told.Answer
+			}
+		}
+	}
+	status, answer := n.call(path, raw, r)
+	data, status := n.encode(status, answer)
+	status, data = turn(status, data)
+	n.Write(w, status, data)
+}
+
+func (n *Node) call(path string, raw []byte, r *http.Request) (int, any) {
+	call, isKnown := n.calls[path]
+	if !isKnown {
+		return http.StatusNotFound, Refuse("no such call: " + path)
+	}
+	body, faults := n.Book.Request(path, raw)
 	if len(faults) > 0 {
 		n.Counts.Add("calls_bad_shape", 1)
-		n.Write(w, http.StatusBadRequest, Refuse("the call does not have the shape that the schema gives it", faults...))
-		return
+		return http.StatusBadRequest, Refuse("the call does not have the shape that the schema gives it", faults...)
 	}
-	status, answer := call(body, raw, r)
-	n.Write(w, status, answer)
+	return call(body, raw, r)
+}
+
+func (n *Node) encode(status int, answer any) ([]byte, int) {
+	if data, isRaw := answer.([]byte); isRaw {
+		return data, status
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		n.Counts.Add("answer_encode_faults", 1)
+		return []byte(`{"error":"answer could not be written","faults":[]}`), http.StatusInternalServerError
+	}
+	return data, status
 }
 
 // Write sends an answer.
 func (n *Node) Write(w http.ResponseWriter, status int, answer any) {
-	data, isRaw := answer.([]byte)
-	if !isRaw {
-		var err error
-		if data, err = json.Marshal(answer); err != nil {
-			n.Counts.Add("answer_encode_faults", 1)
-			status, data = http.StatusInternalServerError, []byte(`{"error":"answer could not be written","faults":[]}`)
-		}
-	}
+	data, status := n.encode(status, answer)
 	w.Header().Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable {
 		wait := time.Duration(fastjson.GetInt(data, "retry_after_ms")) * time.Millisecond
--- a/pooler/cmd/seamc/main.go
+++ b/pooler/cmd/seamc/main.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			return start.Program{}, err
 		}
-		return start.Program{Start: made.Start, Drain: func() {
+		return start.Program{Start: func() error { made.Start(); return nil }, Drain: func() {
 			node.Leave()
 			made.Leave(time.Second)
 		}}, nil
--- a/pooler/cmd/settings/settings.go
+++ b/pooler/cmd/settings/settings.go
@@ -26,6 +26,22 @@
 // Version is set by the build.
 var Version = "dev"
 
+// MannerPlatform is the users' platform's way of speaking.
+const MannerPlatform = "platform"
+
+// SeedLinks gives the link addresses of the seeds.
+func (s Settings) SeedLinks() []string {
+	if s.SeedPort == 0 {
+		return s.Seeds
+	}
+	var links []string
+	for _, seed := range s.Seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		links = append(links, net.JoinHostPort(host, strconv.Itoa(s.SeedPort)))
+	}
+	return links
+}
+
 // Settings is all that a program is told of its place.
 type Settings struct {
 	Name          string
@@ -41,6 +57,19 @@
 	Weight        float64
 	LogLevel      string
 	IsJSON        bool
+	// Manner names the way of speaking with clients, instances, operators and
+	// platform: empty for the product's own.
+	Manner string
+	// Sessions is where clients' line sessions are taken.
+	Sessions string
+	// Losses is how many disk machines may be lost at once; 2 x Losses + 1 of
+	// them vote. 0 where Disks says how many there are.
+	Losses int
+	// IsFounder says that a machine with a blank disk may found the fleet.
+	IsFounder bool
+	// SeedPort is the port of the seeds' links, where seeds names other doors
+	// of theirs.
+	SeedPort int
 
 	File    string
 	IsCheck bool
@@ -67,6 +96,36 @@
 
 const both = "seamd seamc"
 
+func numberField(name, kinds, help string, at func(*Settings) *int) field {
+	return field{
+		name: name, kinds: strings.Split(kinds, " "), help: help,
+		put: func(s *Settings, value string) string {
+			number, err := strconv.Atoi(value)
+			if err != nil {
+				return "not a whole number"
+			}
+			*at(s) = number
+			return ""
+		},
+		get: func(s Settings) string { return strconv.Itoa(*at(&s)) },
+	}
+}
+
+func boolField(name, kinds, help string, at func(*Settings) *bool) field {
+	return field{
+		name: name, kinds: strings.Split(kinds, " "), help: help,
+		put: func(s *Settings, value string) string {
+			is, err := strconv.ParseBool(value)
+			if err != nil {
+				return "not true or false"
+			}
+			*at(s) = is
+			return ""
+		},
+		get: func(s Settings) string { return strconv.FormatBool(*at(&s)) },
+	}
+}
+
 var fields = []field{
 	textField("name", both, "name of this node, unlike all others", false, func(s *Settings) *string { return &s.Name }),
 	textField("zone", both, "zone that the machine stands in", false, func(s *Settings) *string { return &s.Zone }),
@@ -88,18 +147,12 @@
 		get: func(s Settings) string { return strings.Join(s.Seeds, ",") },
 	},
 	textField("data", "seamc", "data folder on the small disk", false, func(s *Settings) *string { return &s.Data }),
-	{
-		name: "disks", kinds: []string{"seamc"}, help: "number of disk machines that form the control plane", isLive: false,
-		put: func(s *Settings, value string) string {
-			number, err := strconv.Atoi(value)
-			if err != nil {
-				return "not a whole number"
-			}
-			s.Disks = number
-			return ""
-		},
-		get: func(s Settings) string { return strconv.Itoa(s.Disks) },
-	},
+	numberField("disks", "seamc", "number of disk machines that form the control plane", func(s *Settings) *int { return &s.Disks }),
+	numberField("losses", "seamc", "disk machines that may be lost at once, in place of disks", func(s *Settings) *int { return &s.Losses }),
+	boolField("founder", "seamc", "true where a blank disk may found the fleet", func(s *Settings) *bool { return &s.IsFounder }),
+	textField("manner", both, "way of speaking with the world outside; empty for the product's own", false, func(s *Settings) *string { return &s.Manner }),
+	textField("sessions", "seamd", "IP:port on which clients' line sessions are taken", false, func(s *Settings) *string { return &s.Sessions }),
+	numberField("seed_port", both, "port of the seeds' links, where seeds names other doors of theirs", func(s *Settings) *int { return &s.SeedPort }),
 	textField("platform", "seamc", "IP:port of the platform's promote call", true, func(s *Settings) *string { return &s.Platform }),
 	{
 		name: "weight", kinds: []string{"seamd"}, help: "weight of this node; beta of its windows follows it", isLive: true,
@@ -114,18 +167,7 @@
 		get: func(s Settings) string { return strconv.FormatFloat(s.Weight, 'g', -1, 64) },
 	},
 	textField("log_level", both, "trace, debug, info, warn or error", true, func(s *Settings) *string { return &s.LogLevel }),
-	{
-		name: "log_json", kinds: strings.Split(both, " "), help: "true for logs as JSON lines", isLive: false,
-		put: func(s *Settings, value string) string {
-			is, err := strconv.ParseBool(value)
-			if err != nil {
-				return "not true or false"
-			}
-			s.IsJSON = is
-			return ""
-		},
-		get: func(s Settings) string { return strconv.FormatBool(s.IsJSON) },
-	},
+	boolField("log_json", both, "true for logs as JSON lines", func(s *Settings) *bool { return &s.IsJSON }),
 }
 
 func fieldsOf(program string) []field {
@@ -285,11 +327,22 @@
 	{both, "door", "must not be the link's address", func(s Settings) bool { return s.Door != "" && s.Door == s.Link }},
 	{both, "advertise_link", "must be IP:port", func(s Settings) bool { return s.AdvertiseLink != "" && !IsAddress(s.AdvertiseLink) }},
 	{both, "advertise_door", "must be IP:port", func(s Settings) bool { return s.AdvertiseDoor != "" && !IsAddress(s.AdvertiseDoor) }},
-	{both, "seeds", "must be three addresses, each IP:port", func(s Settings) bool {
-		return len(s.Seeds) != 3 || slices.ContainsFunc(s.Seeds, func(seed string) bool { return !IsAddress(seed) })
+	{both, "seeds", "must be three addresses, each IP:port; one to three in another manner", func(s Settings) bool {
+		isMany := len(s.Seeds) == 3 || (s.Manner != "" && len(s.Seeds) > 0 && len(s.Seeds) < 3)
+		return !isMany || slices.ContainsFunc(s.Seeds, func(seed string) bool { return !IsAddress(seed) })
+	}},
+	{both, "manner", "must be empty or platform", func(s Settings) bool { return s.Manner != "" && s.Manner != MannerPlatform }},
+	{"seamd", "sessions", "must be IP:port, and is given with a manner only", func(s Settings) bool {
+		return (s.Manner != "" && !IsAddress(s.Sessions)) || (s.Manner == "" && s.Sessions != "")
 	}},
+	{both, "seed_port", "must be from 1 to 65535", func(s Settings) bool { return s.SeedPort < 0 || s.SeedPort > 65535 }},
 	{"seamc", "data", "must name the data folder", func(s Settings) bool { return s.Data == "" }},
-	{"seamc", "disks", "must be an odd number from 3 to 9", func(s Settings) bool { return s.Disks < 3 || s.Disks > 9 || s.Disks%2 == 0 }},
+	{"seamc", "disks", "must be an odd number from 3 to 9", func(s Settings) bool {
+		return s.Losses == 0 && (s.Disks < 3 || s.Disks > 9 || s.Disks%2 == 0)
+	}},
+	{"seamc", "losses", "must be from 1 to 4, and not beside disks", func(s Settings) bool {
+		return s.Losses < 0 || s.Losses > 4 || (s.Losses > 0 && s.Disks > 0)
+	}},
 	{"seamc", "platform", "must be IP:port", func(s Settings) bool { return !IsAddress(s.Platform) }},
 	{"seamd", "weight", "must be from 0.1 to 100", func(s Settings) bool { return !(s.Weight >= 0.1 && s.Weight <= 100) }},
 	{both, "log_level", "must be trace, debug, info, warn or error", func(s Settings) bool { return hclog.LevelFromString(s.LogLevel) == hclog.NoLevel }},
--- a/pooler/cmd/start/start.go
+++ b/pooler/cmd/start/start.go
@@ -28,7 +28,7 @@
 // Program is one of the two daemons, opened on a node.
 type Program struct {
 	// Start begins to act once the node can be met.
-	Start func()
+	Start func() error
 	// Drain finishes what is under way.
 	Drain func()
 }
@@ -88,7 +88,10 @@
 		log.Error("cannot start", "error", err)
 		return ExitFault
 	}
-	made.Start()
+	if err := made.Start(); err != nil {
+		log.Error("cannot start", "error", err)
+		return ExitFault
+	}
 	reloader := newReloader(program, args, node, log)
 	ended := make(chan struct{})
 	node.Crew.Loop(nil, 500*time.Millisecond, reloader.look)
--- /dev/null
+++ b/pooler/coordination/pool/conns.go
@@ -0,0 +1,247 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"tansyseam.example/pooler/coordination/admit"
+	"tansyseam.example/pooler/state/stream"
+	"tansyseam.example/pooler/state/view"
+)
+
+func (m *Machine) shutIdle(held *back, now time.Duration) {
+	for _, conn := range slices.Clone(held.idle) {
+		m.shut(conn, now)
+	}
+}
+
+// recycle makes a connection idle, unless it should not go on.
+func (m *Machine) recycle(conn *Conn, now time.Duration) {
+	held := conn.back
+	if conn.state == connOver {
+		return
+	}
+	conn.state, conn.leg = connIdle, nil
+	if held.leavingAt != 0 || held.info.IsGone || len(held.conns) > m.share(held) {
+		m.shut(conn, now)
+		return
+	}
+	conn.isSet = false
+	held.idle = append(held.idle, conn)
+}
+
+func (m *Machine) recycleState(conn *Conn, state byte, now time.Duration) {
+	if state != stream.StateIdle {
+		m.shut(conn, now)
+		return
+	}
+	m.recycle(conn, now)
+}
+
+// shut closes a connection of ours.
+func (m *Machine) shut(conn *Conn, now time.Duration) {
+	if conn.state == connOver {
+		return
+	}
+	m.drop(conn)
+	m.emit(Shut{Conn: conn})
+	if l := conn.leg; l != nil {
+		conn.leg = nil
+		conn.back.window.Done(admit.Lost, m.sized(l.job, now-l.sentAt))
+	}
+}
+
+func (m *Machine) drop(conn *Conn) {
+	held := conn.back
+	if conn.state == connOpening {
+		held.opening--
+	}
+	conn.state = connOver
+	same := func(other *Conn) bool { return other == conn }
+	held.conns = slices.DeleteFunc(held.conns, same)
+	held.idle = slices.DeleteFunc(held.idle, same)
+}
+
+// Lost tells that a connection has ended by itself, or makes no sense.
+func (m *Machine) Lost(conn *Conn, now time.Duration) {
+	if conn.state == connOver {
+		return
+	}
+	held := conn.back
+	isOpening := conn.state == connOpening
+	if isOpening {
+		held.refused++
+		m.count("connections_refused", 1)
+		m.rest(held, now)
+	}
+	m.drop(conn)
+	m.emit(Shut{Conn: conn})
+	l := conn.leg
+	conn.leg = nil
+	if l != nil {
+		held.window.Done(admit.Lost, m.sized(l.job, now-l.sentAt))
+	}
+	owner := conn.owner
+	conn.owner = nil
+	if l != nil && !l.isDropped && l.job.phase == phaseOut {
+		m.count("statements_cut", 1)
+		m.onCut(l, now)
+	} else if owner != nil && owner.turn != nil && owner.turn.conn == conn {
+		owner.turn.conn = nil
+		m.loseTurn(owner, now)
+	}
+	if !isOpening {
+		held.restAt = max(held.restAt, now)
+	}
+	m.pump(m.baseOf(held), now)
+}
+
+func (m *Machine) onCut(l *leg, now time.Duration) {
+	j := l.job
+	if j.mayLast() && l.isBegun {
+		if j.turn != nil {
+			j.turn.conn = nil
+		}
+		m.unsure(j, "the instance's connection ended before its answer came", now)
+		return
+	}
+	if j.turn != nil && !l.isBegun {
+		j.turn.conn = nil
+		m.again(j, now)
+		return
+	}
+	if j.turn != nil {
+		j.turn.conn, j.turn.isLost = nil, true
+		m.abortTurn(j, now)
+		return
+	}
+	for _, other := range j.legs {
+		if other != l && !other.isDropped && other.conn.state == connBusy {
+			l.isDropped = true
+			return
+		}
+	}
+	m.again(j, now)
+}
+
+// expire ends what its bound has passed for: statements and openings.
+func (m *Machine) expire(now time.Duration) {
+	for _, j := range slices.Clone(m.leaseless) {
+		if j.phase == phaseLease && now >= j.deadline {
+			m.late(j, now)
+		}
+	}
+	for _, one := range m.bases {
+		for _, list := range [][]*Job{one.turns, one.writes, one.reads, one.out, one.confirms} {
+			for _, j := range slices.Clone(list) {
+				if j.phase != phaseEnded && now >= j.deadline {
+					m.late(j, now)
+				}
+			}
+		}
+		if one.closedAt != 0 && now-one.closedAt >= m.timing.Settle {
+			for _, j := range m.stranded(one) {
+				m.cut(j, now)
+			}
+		}
+	}
+}
+
+// cut ends a commit that is out at a primary that is one no more.
+func (m *Machine) cut(j *Job, now time.Duration) {
+	for _, held := range j.legs {
+		if held.conn.state == connBusy && held.conn.leg == held {
+			held.isDropped = true
+			held.conn.owner = nil
+			m.shut(held.conn, now)
+		}
+	}
+	if j.turn != nil {
+		j.turn.conn = nil
+	}
+	m.unsure(j, "its primary lost the writer role before it answered", now)
+}
+
+var lates map[phase]func(*Machine, *Job, time.Duration)
+
+func init() {
+	lates = map[phase]func(*Machine, *Job, time.Duration){
+		phaseLease: (*Machine).lateInLine,
+		phaseLine:  (*Machine).lateInLine,
+		phaseOut:   (*Machine).lateOut,
+		phaseConfirm: func(m *Machine, j *Job, now time.Duration) {
+			m.unsure(j, "it ran, but the lease to say so did not come in time", now)
+		},
+	}
+}
+
+func (m *Machine) late(j *Job, now time.Duration) {
+	m.count("timeouts", 1)
+	lates[j.phase](m, j, now)
+}
+
+func (m *Machine) lateInLine(j *Job, now time.Duration) {
+	code := stream.CodeBusy
+	if j.turn != nil && j.turn.conn != nil {
+		code = stream.CodeAborted
+	}
+	m.refuse(j, code, "no room in time; come back in 200 ms", now)
+}
+
+func (m *Machine) lateOut(j *Job, now time.Duration) {
+	if j.mayLast() && j.isSent() {
+		for _, held := range j.legs {
+			m.abandon(held, now)
+		}
+		if j.turn != nil {
+			j.turn.conn = nil
+		}
+		m.unsure(j, "no answer from the instance in time", now)
+		return
+	}
+	for _, held := range j.legs {
+		m.abandon(held, now)
+	}
+	if j.turn != nil {
+		j.turn.conn, j.turn.isLost = nil, true
+		m.abortTurn(j, now)
+		return
+	}
+	m.refuse(j, stream.CodeTimeout, "no answer from the instance in time", now)
+}
+
+// abandon closes the connection of a statement that nobody waits for.
+func (m *Machine) abandon(held *leg, now time.Duration) {
+	held.isDropped = true
+	if held.conn.state == connBusy && held.conn.leg == held {
+		held.conn.owner = nil
+		m.shut(held.conn, now)
+	}
+}
+
+// tend looks after an instance's connections.
+func (m *Machine) tend(held *back, now time.Duration) {
+	for _, conn := range slices.Clone(held.conns) {
+		isStuck := conn.state == connOpening && now-conn.opened > m.timing.Open
+		isDead := conn.state == connBusy && conn.leg != nil && conn.leg.isDropped && now-conn.leg.sentAt > m.timing.Reap
+		if isStuck {
+			m.Lost(conn, now)
+		}
+		if isDead {
+			m.shut(conn, now)
+		}
+	}
+	if held.leavingAt == 0 || now-held.leavingAt < graceOf(held.info) {
+		return
+	}
+	for _, conn := range slices.Clone(held.conns) {
+		if conn.owner != nil {
+			m.loseTurn(conn.owner, now)
+		}
+	}
+}
+
+func graceOf(view.Instance) time.Duration { return 5 * time.Second }
+
+// IsOver says whether the machine has given the connection up.
+func (c *Conn) IsOver() bool { return c.state == connOver }
--- a/pooler/protocol/stream/stream.go
+++ b/pooler/state/stream/stream.go
@@ -140,6 +140,8 @@
 	Row   func(to []byte, tail string) []byte
 	Done  func(to []byte, tail string) []byte
 	Error func(to []byte, code Code, text string) []byte
+	// Fault is an error with what an instance wrote, as it came.
+	Fault func(to []byte, tail string) []byte
 	// Begin, Rollback, Reset, Set, Prepare and Run give texts.
 	Begin    func(isRead bool) string
 	Rollback func() string
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -48,7 +48,7 @@
 	Connections int      `json:"connections"`
 	Slots       int      `json:"slots"`
 	// IsSynced says that the instance answers a commit only once a replica
-	// has received it, and speaks a line protocol (protocol/stream).
+	// has received it, and speaks a line protocol (state/stream).
 	IsSynced bool `json:"synced,omitempty"`
 	// IsGone says that it has ended in good order.
 	IsGone bool `json:"gone,omitempty"`
--- /dev/null
+++ b/pooler/transport/wire/wire.go
@@ -0,0 +1,133 @@
+// Package wire carries lines over TCP, on one engine of nbio: sessions that
+// are accepted and sessions that are opened. Lines end with LF, with or
+// without CR before it.
+package wire
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/lesismal/nbio"
+)
+
+// Errors of the wire layer.
+const (
+	ErrListen  = errors.ConstError("address cannot be listened on")
+	ErrTooLong = errors.ConstError("line too long")
+)
+
+// Handler hears of one connection. Lines hears of all whole lines that came
+// together, in order; they are not valid after it returns. Ended comes once.
+type Handler interface {
+	Lines(lines [][]byte)
+	Ended(err error)
+}
+
+// Conn is one connection.
+type Conn struct {
+	raw     *nbio.Conn
+	handler Handler
+	rest    []byte
+	longest int
+}
+
+// Write sends bytes; what the network does not take now follows later, in
+// order. It does not block.
+func (c *Conn) Write(data []byte) { _, _ = c.raw.Write(data) }
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.raw.Close() }
+
+// Remote gives the far end's address.
+func (c *Conn) Remote() string { return c.raw.RemoteAddr().String() }
+
+// Engine serves all connections of a process.
+type Engine struct {
+	engine  *nbio.Engine
+	longest int
+	greet   func(*Conn) Handler
+}
+
+// New makes an engine; address may be empty, for one that only opens. Greet
+// gives the handler of each accepted connection.
+func New(address string, longest int, greet func(*Conn) Handler) *Engine {
+	config := nbio.Config{Network: "tcp", NPoller: 1, ReadBufferSize: 16 << 10, MaxWriteBufferSize: 4 << 20}
+	if address != "" {
+		config.Addrs = []string{address}
+	}
+	e := &Engine{engine: nbio.NewEngine(config), longest: longest, greet: greet}
+	e.engine.OnOpen(func(raw *nbio.Conn) {
+		conn := &Conn{raw: raw, longest: longest}
+		raw.SetSession(conn)
+		conn.handler = e.greet(conn)
+	})
+	e.engine.OnData(func(raw *nbio.Conn, data []byte) {
+		if conn, isOurs := raw.Session().(*Conn); isOurs {
+			conn.onData(data)
+		}
+	})
+	e.engine.OnClose(func(raw *nbio.Conn, err error) {
+		if conn, isOurs := raw.Session().(*Conn); isOurs && conn.handler != nil {
+			conn.handler.Ended(err)
+		}
+	})
+	return e
+}
+
+// Start listens and serves.
+func (e *Engine) Start() error {
+	if err := e.engine.Start(); err != nil {
+		return errors.WithType(errors.Trace(err), ErrListen)
+	}
+	return nil
+}
+
+// Stop ends all connections.
+func (e *Engine) Stop() { e.engine.Stop() }
+
+// Open opens a connection and writes first as soon as it is up. The handler
+// hears of lines and of the end; up hears of the connection first. An error
+// says that nothing was begun.
+func (e *Engine) Open(address string, first []byte, bound time.Duration, handler Handler, up func(*Conn)) error {
+	err := e.engine.DialAsyncTimeout("tcp", address, bound, func(raw *nbio.Conn, err error) {
+		if err != nil || raw == nil {
+			handler.Ended(err)
+			return
+		}
+		conn := &Conn{raw: raw, handler: handler, longest: e.longest}
+		raw.SetSession(conn)
+		_ = raw.SetNoDelay(true)
+		up(conn)
+		if len(first) > 0 {
+			conn.Write(first)
+		}
+	})
+	return errors.Trace(err)
+}
+
+func (c *Conn) onData(data []byte) {
+	if len(c.rest) > 0 {
+		data = append(c.rest, data...)
+		c.rest = nil
+	}
+	var lines [][]byte
+	for {
+		at := bytes.IndexByte(data, '\n')
+		if at < 0 {
+			break
+		}
+		lines = append(lines, bytes.TrimSuffix(data[:at], []byte{'\r'}))
+		data = data[at+1:]
+	}
+	if len(lines) > 0 {
+		c.handler.Lines(lines)
+	}
+	if len(data) > c.longest {
+		_ = c.raw.CloseWithError(ErrTooLong)
+		return
+	}
+	if len(data) > 0 {
+		c.rest = append([]byte(nil), data...)
+	}
+}
