Send each way of a link as one gob stream, so that types go over it once

Cause: every frame carried the description of its types anew, some hundred bytes and a compile of the decoder each; bytes between zones are dear and processors small. Change: one encoder and one decoder a connection; frames that stand alone are still read. One poller a hub. Protocol version 2. Ruled out: a codec of another kind; gob is the users' choice. Tests: the link's, under the race detector.

--- a/pooler/transport/link/link.go
+++ b/pooler/transport/link/link.go
@@ -1,5 +1,7 @@
 // Package link carries gob messages between the fleet's own processes over
-// TCP: framed, checksummed, versioned, on one engine.
+// TCP: framed, checksummed, versioned, on one engine. All frames that go one
+// way on a connection are one gob stream, so that the description of a type
+// goes over it once.
 package link
 
 import (
@@ -27,13 +29,16 @@
 // Version is the version of the internal protocol that this build speaks;
 // it talks with any from Oldest on.
 const (
-	Version = 1
-	Oldest  = 1
+	Version = 2
+	Oldest  = 2
 )
 
 const (
 	headSize = 4 + 4 + 4
 	maxFrame = 8 << 20
+	// streamed marks, in the size of a frame, one that goes on the
+	// connection's gob stream; one without it stands alone.
+	streamed = 1 << 31
 )
 
 var magic = [3]byte{'s', 'm', 'L'}
@@ -74,14 +79,56 @@
 
 type delivery struct {
 	envelope Envelope
-	conn     *nbio.Conn
+	peer     *peer
 }
 
 type line struct {
-	conn    *nbio.Conn
+	peer    *peer
 	isBusy  bool
-	backlog [][]byte
-	failed  time.Duration
+	backlog []*Envelope
+}
+
+// peer is one connection with its two gob streams.
+type peer struct {
+	conn    *nbio.Conn
+	mutex   sync.Mutex
+	out     bytes.Buffer
+	encoder *gob.Encoder
+	rest    []byte
+	in      bytes.Buffer
+	decoder *gob.Decoder
+}
+
+func newPeer(conn *nbio.Conn) *peer {
+	p := &peer{conn: conn}
+	p.encoder, p.decoder = gob.NewEncoder(&p.out), gob.NewDecoder(&p.in)
+	return p
+}
+
+func (p *peer) send(envelope *Envelope) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.out.Reset()
+	p.out.Write(make([]byte, headSize))
+	if err := p.encoder.Encode(envelope); err != nil {
+		_ = p.conn.Close()
+		return errors.Annotatef(err, "encode %T", envelope.Body)
+	}
+	frame := p.out.Bytes()
+	head(frame, streamed)
+	_, _ = p.conn.Write(frame)
+	return nil
+}
+
+func (p *peer) decode(payload []byte, isStreamed bool) (Envelope, error) {
+	var envelope Envelope
+	if !isStreamed {
+		return envelope, gob.NewDecoder(bytes.NewReader(payload)).Decode(&envelope)
+	}
+	p.in.Write(payload)
+	err := p.decoder.Decode(&envelope)
+	p.in.Reset()
+	return envelope, err
 }
 
 // New makes a hub that answers with handler once it listens.
@@ -94,7 +141,12 @@
 		h.local = host
 	}
 	h.engine = nbio.NewEngine(nbio.Config{
-		Network: "tcp", Addrs: []string{address}, NPoller: 2, MaxWriteBufferSize: 16 << 20,
+		Network: "tcp", Addrs: []string{address}, NPoller: 1, ReadBufferSize: 16 << 10, MaxWriteBufferSize: 16 << 20,
+	})
+	h.engine.OnOpen(func(conn *nbio.Conn) {
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		conn.SetSession(newPeer(conn))
 	})
 	h.engine.OnData(h.onData)
 	h.engine.OnClose(h.onClose)
@@ -115,11 +167,15 @@
 		return nil, errors.Annotatef(err, "encode %T", envelope.Body)
 	}
 	frame := buffer.Bytes()
+	head(frame, 0)
+	return frame, nil
+}
+
+func head(frame []byte, mark uint32) {
 	copy(frame, magic[:])
 	frame[3] = Version
-	binary.BigEndian.PutUint32(frame[4:], uint32(len(frame)-headSize))
+	binary.BigEndian.PutUint32(frame[4:], uint32(len(frame)-headSize)|mark)
 	binary.BigEndian.PutUint32(frame[8:], crc32.ChecksumIEEE(frame[headSize:]))
-	return frame, nil
 }
 
 func (h *Hub) refuse(conn *nbio.Conn, why string) {
@@ -128,8 +184,16 @@
 }
 
 func (h *Hub) onData(conn *nbio.Conn, data []byte) {
-	held, _ := conn.Session().([]byte)
-	held = append(held, data...)
+	h.mutex.Lock()
+	from, isOurs := conn.Session().(*peer)
+	h.mutex.Unlock()
+	if !isOurs {
+		return
+	}
+	held := data
+	if len(from.rest) > 0 {
+		held = append(from.rest, data...)
+	}
 	for len(held) >= headSize {
 		if !bytes.Equal(held[:3], magic[:]) {
 			h.refuse(conn, "garbage")
@@ -139,7 +203,8 @@
 			h.refuse(conn, "version")
 			return
 		}
-		size := int(binary.BigEndian.Uint32(held[4:]))
+		mark := binary.BigEndian.Uint32(held[4:])
+		size := int(mark &^ streamed)
 		if size > maxFrame {
 			h.refuse(conn, "oversized")
 			return
@@ -152,8 +217,7 @@
 			h.refuse(conn, "checksum")
 			return
 		}
-		var envelope Envelope
-		err := gob.NewDecoder(bytes.NewReader(payload)).Decode(&envelope)
+		envelope, err := from.decode(payload, mark&streamed != 0)
 		held = held[headSize+size:]
 		if err != nil && strings.Contains(err.Error(), "name not registered") {
 			h.counts.Add("link_unknown_message", 1)
@@ -168,11 +232,11 @@
 			h.settle(envelope)
 			continue
 		}
-		if !h.inbox.Offer(delivery{envelope: envelope, conn: conn}) {
+		if !h.inbox.Offer(delivery{envelope: envelope, peer: from}) {
 			h.counts.Add("link_inbox_full", 1)
 		}
 	}
-	conn.SetSession(append([]byte(nil), held...))
+	from.rest = append([]byte(nil), held...)
 }
 
 func (h *Hub) settle(envelope Envelope) {
@@ -193,19 +257,16 @@
 	if d.envelope.ID == 0 || reply == nil {
 		return
 	}
-	frame, err := pack(Envelope{From: h.name, Version: Version, ID: d.envelope.ID, IsReply: true, Body: reply})
-	if err != nil {
+	if err := d.peer.send(&Envelope{From: h.name, Version: Version, ID: d.envelope.ID, IsReply: true, Body: reply}); err != nil {
 		h.counts.Add("link_encode_faults", 1)
-		return
 	}
-	_, _ = d.conn.Write(frame)
 }
 
 func (h *Hub) onClose(conn *nbio.Conn, _ error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for address, held := range h.lines {
-		if held.conn == conn {
+		if held.peer != nil && held.peer.conn == conn {
 			delete(h.lines, address)
 			h.failCalls(address)
 		}
@@ -224,12 +285,7 @@
 // Send passes a message on if it can; a message for a link that is down is
 // dropped, since every machine sends again what still matters.
 func (h *Hub) Send(address string, body any) {
-	frame, err := pack(Envelope{From: h.name, Version: Version, Body: body})
-	if err != nil {
-		h.counts.Add("link_encode_faults", 1)
-		return
-	}
-	h.write(address, frame)
+	h.write(address, &Envelope{From: h.name, Version: Version, Body: body})
 }
 
 // Call sends a request and waits for its answer, for a bound.
@@ -240,11 +296,7 @@
 	id := h.nextID
 	h.calls[id] = call{waiter: waiter, address: address}
 	h.mutex.Unlock()
-	frame, err := pack(Envelope{From: h.name, Version: Version, ID: id, Body: body})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	h.write(address, frame)
+	h.write(address, &Envelope{From: h.name, Version: Version, ID: id, Body: body})
 	timer := time.NewTimer(bound)
 	defer timer.Stop()
 	select {
@@ -262,22 +314,21 @@
 	return nil, errors.Annotatef(ErrTimeout, "%s", address)
 }
 
-func (h *Hub) write(address string, frame []byte) {
+func (h *Hub) write(address string, envelope *Envelope) {
 	h.mutex.Lock()
 	held, isHeld := h.lines[address]
 	if !isHeld {
 		held = &line{}
 		h.lines[address] = held
 	}
-	if held.conn != nil {
-		conn := held.conn
+	if held.peer != nil {
+		to := held.peer
 		h.mutex.Unlock()
-		_, _ = conn.Write(frame)
-		h.counts.Add("link_out", 1)
+		h.post(to, envelope)
 		return
 	}
 	if len(held.backlog) < 64 {
-		held.backlog = append(held.backlog, frame)
+		held.backlog = append(held.backlog, envelope)
 	}
 	isFirst := !held.isBusy
 	held.isBusy = true
@@ -287,6 +338,14 @@
 	}
 }
 
+func (h *Hub) post(to *peer, envelope *Envelope) {
+	if err := to.send(envelope); err != nil {
+		h.counts.Add("link_encode_faults", 1)
+		return
+	}
+	h.counts.Add("link_out", 1)
+}
+
 func (h *Hub) dial(address string, held *line) {
 	dialer := net.Dialer{Timeout: 500 * time.Millisecond}
 	if ip := net.ParseIP(h.local); ip != nil && !ip.IsUnspecified() {
@@ -300,7 +359,7 @@
 		}
 	}
 	h.mutex.Lock()
-	frames := held.backlog
+	waiting := held.backlog
 	held.backlog = nil
 	held.isBusy = false
 	if err != nil {
@@ -310,11 +369,10 @@
 		h.counts.Add("link_dial_faults", 1)
 		return
 	}
-	held.conn = conn
+	held.peer, _ = conn.Session().(*peer)
 	h.lines[address] = held
 	h.mutex.Unlock()
-	for _, frame := range frames {
-		_, _ = conn.Write(frame)
+	for _, envelope := range waiting {
+		h.post(held.peer, envelope)
 	}
-	h.counts.Add("link_out", int64(len(frames)))
 }
--- a/pooler/transport/wire/wire.go
+++ b/pooler/transport/wire/wire.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,6 +48,20 @@
 	engine  *nbio.Engine
 	longest int
 	greet   func(*Conn) Handler
+	mutex   sync.Mutex
+}
+
+func (e *Engine) put(raw *nbio.Conn, conn *Conn) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	raw.SetSession(conn)
+}
+
+func (e *Engine) get(raw *nbio.Conn) *Conn {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	conn, _ := raw.Session().(*Conn)
+	return conn
 }
 
 // New makes an engine; address may be empty, for one that only opens. Greet
@@ -59,16 +74,16 @@
 	e := &Engine{engine: nbio.NewEngine(config), longest: longest, greet: greet}
 	e.engine.OnOpen(func(raw *nbio.Conn) {
 		conn := &Conn{raw: raw, longest: longest}
-		raw.SetSession(conn)
 		conn.handler = e.greet(conn)
+		e.put(raw, conn)
 	})
 	e.engine.OnData(func(raw *nbio.Conn, data []byte) {
-		if conn, isOurs := raw.Session().(*Conn); isOurs {
+		if conn := e.get(raw); conn != nil {
 			conn.onData(data)
 		}
 	})
 	e.engine.OnClose(func(raw *nbio.Conn, err error) {
-		if conn, isOurs := raw.Session().(*Conn); isOurs && conn.handler != nil {
+		if conn := e.get(raw); conn != nil {
 			conn.handler.Ended(err)
 		}
 	})
@@ -96,7 +111,7 @@
 			return
 		}
 		conn := &Conn{raw: raw, handler: handler, longest: e.longest}
-		raw.SetSession(conn)
+		e.put(raw, conn)
 		_ = raw.SetNoDelay(true)
 		up(conn)
 		if len(first) > 0 {
