--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -18,11 +18,13 @@
 	Drift time.Duration
 	// Margin is added before a common moment.
 	Margin time.Duration
+	// Wait is the longest that an ask waits for news.
+	Wait time.Duration
 }
 
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
-	return Timing{Full: 1600 * time.Millisecond, Short: 400 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond}
+	return Timing{Full: 1600 * time.Millisecond, Short: 400 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond}
 }
 
 type holding struct {
--- a/pooler/coordination/steer/calls.go
+++ b/pooler/coordination/steer/calls.go
@@ -57,11 +57,55 @@
 	if newest.Sequence != expected {
 		return nil, newest.Sequence
 	}
-	set := view.Set{Sequence: newest.Sequence + 1, Bindings: bindings, Taken: wall, Source: source}
+	set := follow(newest, view.Set{Bindings: bindings, Taken: wall, Source: source})
 	puts := []table.Put{{Key: SetKey(set.Sequence), Data: table.Encode(set)}}
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("sequence %d taken", set.Sequence), source)...), newest.Sequence
 }
 
+func follow(newest, set view.Set) view.Set {
+	set.Sequence = newest.Sequence + 1
+	if set.Version == 0 {
+		set.Version, set.Databases, set.Limits = newest.Version, newest.Databases, newest.Limits
+	}
+	return set
+}
+
+// RawKey is the key of a manifest's bytes.
+func RawKey(sequence uint64) string { return fmt.Sprintf("%s%012d", view.KeyRaw, sequence) }
+
+// PutManifest gives the puts that take a manifest by its operator's version,
+// and the version held before; none where that is not below the given one.
+func PutManifest(held *table.Table, version uint64, set view.Set, raw []byte, source string, wall int64) ([]table.Put, uint64) {
+	newest := view.DocOf(held).Newest()
+	if newest.Version >= version {
+		return nil, newest.Version
+	}
+	set.Version, set.Taken, set.Source = version, wall, source
+	set = follow(newest, set)
+	puts := []table.Put{{Key: SetKey(set.Sequence), Data: table.Encode(set)}}
+	if len(raw) > 0 {
+		puts = append(puts, table.Put{Key: RawKey(set.Sequence), Data: raw})
+	}
+	what := fmt.Sprintf("version %d taken as sequence %d", version, set.Sequence)
+	return append(puts, EntryPuts(held, wall, "bindings", what, source)...), newest.Version
+}
+
+// Raw gives the bytes of the newest manifest as they were sent, where they
+// were kept, with the set that it made.
+func Raw(held *table.Table) (view.Set, []byte, bool) {
+	var set view.Set
+	for _, one := range view.DocOf(held).Sets {
+		if one.Version > set.Version {
+			set = one
+		}
+	}
+	raws := held.Keys(view.KeyRaw)
+	if set.Version == 0 || len(raws) == 0 {
+		return set, nil, set.Version > 0
+	}
+	return set, held.Records[raws[len(raws)-1]].Data, true
+}
+
 // BookSet gives the puts that book a set for a moment; none, and the set in
 // the way, where one of a later moment is on its way to the nodes already,
 // since the sets would land out of order.
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -79,7 +79,7 @@
 	Instances []view.Instance
 }
 
-// Wait is the longest that an ask waits for news.
+// Wait is the longest that an ask waits for news where the timing names none.
 const Wait = 250 * time.Millisecond
 
 type waiter struct {
@@ -132,6 +132,16 @@
 	isEnrolling map[string]bool
 	inherited   table.Stamp
 	isSure      bool
+
+	roll     []view.Instance
+	rollNo   uint64
+	births   map[string]int64
+	leased   map[string]bool
+	evidence map[string]time.Duration
+	event    uint64
+	covered  map[string]uint64
+	marks    map[string]view.Position
+	phases   map[string]phaseAt
 }
 
 // New makes the machine with the record and state held on disk.
@@ -151,6 +161,7 @@
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
+	m.clearSynced()
 }
 
 func (m *Machine) known() []string {
@@ -223,8 +234,10 @@
 
 // Wrote takes the state that is safe to publish.
 func (m *Machine) Wrote(held *table.Table) {
+	before := m.doc
 	m.table = held
 	m.doc = view.DocOf(held)
+	m.noteTerms(before)
 }
 
 // Record gives the epoch record.
@@ -245,6 +258,8 @@
 // Ask takes an ask; it is answered by Flush.
 func (m *Machine) Ask(ask AskNews, token uint64, now time.Duration) {
 	if ask.Kind == view.KindData {
+		m.watch(now)
+		m.noteBirth(ask.Node, ask.Birth)
 		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut, now)
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
@@ -261,6 +276,7 @@
 	}
 	for _, report := range told.Reports {
 		held[report.Instance.Name] = reported{report: report, at: now}
+		m.noteEvidence(report, now)
 	}
 	for name, high := range told.Highs {
 		m.highs[name] = m.highs[name].Later(high)
@@ -294,7 +310,8 @@
 	var kept []waiter
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
-		if !isNews && now < held.came+Wait && isPrimary {
+		isRoll := isPrimary && m.isRollNews(held.ask, wall)
+		if !isNews && !isRoll && now < held.came+m.wait() && isPrimary {
 			kept = append(kept, held)
 			continue
 		}
@@ -304,6 +321,9 @@
 				doc := m.doc
 				news.Doc = &doc
 			}
+			if isRoll {
+				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
+			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
 				news.Lease = m.desk.Grant(held.ask.Node, m.doc.IsPending(), m.room(wall), now)
 			}
@@ -432,7 +452,8 @@
 	key := view.KeyDB + ask.After.Database
 	now, isKnown := table.Get[view.Writer](held, key)
 	isSame := isKnown == ask.IsKnown && now.Term == ask.Before.Term && now.Phase == ask.Before.Phase &&
-		now.Intent == ask.Before.Intent && now.Calls == ask.Before.Calls &&
+		now.Intent == ask.Before.Intent && now.Calls == ask.Before.Calls && now.Fence == ask.Before.Fence &&
+		(!now.IsSynced || now.Since == ask.Before.Since) &&
 		isSameSet(now.Required, ask.Before.Required) && isSameSet(now.Candidates, ask.Before.Candidates)
 	if !isSame {
 		return nil
@@ -484,9 +505,7 @@
 	if m.isLand {
 		return Write{}, false
 	}
-	if m.tenure == "" {
-		m.tenure = fmt.Sprintf("%s@%d", m.self, wall)
-	}
+	m.tenureOf(wall)
 	done := func() {
 		m.isLand = false
 		m.desk.Thaw()
@@ -552,7 +571,7 @@
 	}
 	key := view.KeyBook + booking.ID
 	newest := view.DocOf(held).Newest()
-	set := view.Set{Sequence: newest.Sequence + 1, Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID}
+	set := follow(newest, view.Set{Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID})
 	puts := []table.Put{{Key: key, IsGone: true}, {Key: SetKey(set.Sequence), Data: table.Encode(set)}}
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("booked change %s taken as sequence %d", booking.ID, set.Sequence), "its moment is near")...)
 }
@@ -594,6 +613,12 @@
 				puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
 			}
 		}
+		raws := held.Keys(view.KeyRaw)
+		for at, key := range raws {
+			if at+1 < len(raws) && key < RawKey(lowest) {
+				puts = append(puts, table.Put{Key: key, IsGone: true})
+			}
+		}
 		return puts
 	}, Done: func() { m.isTidy = false }}, true
 }
