Let a fleet found itself with fewer voters than disk machines, and pair writes

Cause: the number of disk machines had to be met exactly before a fleet formed, and a write was acknowledged on one disk while the epoch named no backup. Ruled out: letting any blank machine propose, since one whose disk was replaced could then found a second fleet. Change: epoch.Founding; machines without a vote follow by asking for standing; with IsPaired queued writes, and one under way, wait for a backup in step.

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -163,8 +163,12 @@
 		From string
 		Body any
 	}
-	// Peers tells the control nodes met so far.
-	Peers struct{ Names []string }
+	// Peers tells the control nodes met so far, and by link address, where
+	// that is known, which of them is met there.
+	Peers struct {
+		Names []string
+		Links map[string]string
+	}
 	// Submit asks for a write; Build sees the state at its turn and may
 	// give no puts.
 	Submit struct {
@@ -234,10 +238,26 @@
 	stamp table.Stamp
 }
 
+// Founding says how a new fleet chooses its voters.
+type Founding struct {
+	// Disks is the exact number of disk machines that must be met, all of
+	// which vote; what follows counts only where it is 0.
+	Disks int
+	// Voters is how many vote; other disk machines follow.
+	Voters int
+	// IsFounder allows this machine to found a fleet while its disk is blank.
+	IsFounder bool
+	// Seeds are the link addresses behind which the voters are looked for.
+	Seeds []string
+	// IsPaired holds writes while the epoch names no backup, so that each
+	// acknowledged one is on two disks.
+	IsPaired bool
+}
+
 // Machine is the state of one disk machine. It does no I/O.
 type Machine struct {
 	self        string
-	disks       int
+	founding    Founding
 	timing      Timing
 	identity    *Identity
 	ballots     Ballots
@@ -254,6 +274,9 @@
 	offset  int64
 	isSure  bool
 	peers   []string
+	links   map[string]string
+	many    time.Duration
+	outside *Standing
 	formed  map[string]bool
 	asked   time.Duration
 	stands  map[string]Standing
@@ -280,10 +303,16 @@
 // Effect is one of the effect types.
 type Effect any
 
-// New makes the machine from what its disk held.
+// New makes the machine of a fleet in which all disk machines vote, from what
+// its disk held.
 func New(self string, disks int, timing Timing, saved Saved, now time.Duration) *Machine {
+	return NewFounding(self, Founding{Disks: disks}, timing, saved, now)
+}
+
+// NewFounding makes the machine from what its disk held.
+func NewFounding(self string, founding Founding, timing Timing, saved Saved, now time.Duration) *Machine {
 	m := &Machine{
-		self: self, disks: disks, timing: timing, identity: saved.Identity, copy: table.New(),
+		self: self, founding: founding, timing: timing, identity: saved.Identity, copy: table.New(),
 		copies: saved.Copies, started: now, formed: map[string]bool{}, stands: map[string]Standing{},
 		acks: map[string]time.Duration{}, mutes: map[string]bool{}, walls: map[string]int64{},
 		shunned: map[string]time.Duration{},
@@ -302,7 +331,16 @@
 }
 
 // Record gives the epoch record last known.
-func (m *Machine) Record() Record { return m.ballots.Decided }
+func (m *Machine) Record() Record {
+	if m.outside != nil && m.identity == nil {
+		return m.outside.Decided
+	}
+	return m.ballots.Decided
+}
+
+// IsOutside says whether the machine was told of a fleet in which it has no
+// vote.
+func (m *Machine) IsOutside() bool { return m.outside != nil && m.identity == nil }
 
 // Table gives the state that is safe to publish, to be read only: it holds
 // no write that the backup may lack.
@@ -455,13 +493,13 @@
 		m.others(func(name string) { m.send(name, Renew{Record: m.ballots.Decided, Sent: now, Life: m.life}) })
 		m.reckon(now)
 	}
-	if m.pending != nil && m.round == nil && now-m.pending.sent > m.timing.Reply && now >= m.waitUntil {
+	if m.pending != nil && !m.isUnpaired() && m.round == nil && now-m.pending.sent > m.timing.Reply && now >= m.waitUntil {
 		m.dropBackup(now, "backup did not sync in time")
 	}
-	if m.round != nil || m.pending != nil {
+	decided := m.ballots.Decided
+	if m.round != nil || (m.pending != nil && !m.isUnpaired()) {
 		return
 	}
-	decided := m.ballots.Decided
 	if m.isUnsettled {
 		if now >= m.waitUntil && m.IsPrimary(now) {
 			m.propose(Record{Epoch: decided.Epoch + 1, Primary: m.self}, now)
@@ -489,6 +527,10 @@
 	m.pump(now)
 }
 
+func (m *Machine) isUnpaired() bool {
+	return m.founding.IsPaired && m.ballots.Decided.Backup == "" && len(m.Voters()) > 1
+}
+
 func (m *Machine) refusedBy(now time.Duration) []string {
 	var names []string
 	m.others(func(name string) {
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -36,7 +36,7 @@
 	addHear := func(kind reflect.Type, step hear) { hearers[kind] = step }
 	addStep(on((*Machine).onTick))
 	addStep(on((*Machine).onHeard))
-	addStep(on(func(m *Machine, peers Peers, _ time.Duration) { m.peers = peers.Names }))
+	addStep(on((*Machine).onPeers))
 	addStep(on((*Machine).onSubmit))
 	addHear(heard((*Machine).onForm))
 	addHear(heard((*Machine).onFormAck))
@@ -85,18 +85,72 @@
 
 func (m *Machine) isVoter(name string) bool { return slices.Contains(m.Voters(), name) }
 
+func (m *Machine) onPeers(peers Peers, now time.Duration) {
+	m.peers, m.links = peers.Names, peers.Links
+	if len(m.peers) < m.founding.Voters {
+		m.many = 0
+		return
+	}
+	if m.many == 0 {
+		m.many = now
+	}
+}
+
+const (
+	patience     = time.Second
+	seedPatience = 3 * time.Second
+	outsidePace  = time.Second
+)
+
+func (m *Machine) founders(now time.Duration) []string {
+	if m.founding.Disks > 0 {
+		if len(m.peers) != m.founding.Disks {
+			return nil
+		}
+		return slices.Sorted(slices.Values(m.peers))
+	}
+	if !m.founding.IsFounder || m.founding.Voters == 0 || m.outside != nil {
+		return nil
+	}
+	var seeded []string
+	for _, seed := range m.founding.Seeds {
+		name, isMet := m.links[seed]
+		if isMet && !slices.Contains(seeded, name) {
+			seeded = append(seeded, name)
+		}
+	}
+	if len(seeded) >= m.founding.Voters {
+		return slices.Sorted(slices.Values(seeded[:m.founding.Voters]))
+	}
+	wait := patience
+	if len(seeded) < len(m.founding.Seeds) {
+		wait = seedPatience
+	}
+	if m.many == 0 || now-m.many < wait {
+		return nil
+	}
+	return slices.Sorted(slices.Values(m.peers))[:m.founding.Voters]
+}
+
+func (m *Machine) mayFound() bool {
+	return m.founding.Disks > 0 || (m.founding.IsFounder && m.outside == nil)
+}
+
 func (m *Machine) seekStanding(now time.Duration) {
-	if now-m.asked < m.timing.Form {
+	pace, asked := m.timing.Form, m.peers
+	if m.IsOutside() {
+		pace, asked = outsidePace, m.outside.Identity.Voters
+	}
+	if now-m.asked < pace {
 		return
 	}
 	m.asked = now
-	for _, name := range m.peers {
+	for _, name := range asked {
 		if name != m.self {
 			m.send(name, AskStanding{})
 		}
 	}
-	if m.identity == nil && len(m.peers) == m.disks && m.disks > 0 {
-		voters := slices.Sorted(slices.Values(m.peers))
+	if voters := m.founders(now); m.identity == nil && len(voters) > 0 {
 		if voters[0] != m.self {
 			return
 		}
@@ -116,7 +170,7 @@
 }
 
 func (m *Machine) onForm(from string, form Form, _ time.Duration) {
-	if m.identity == nil && slices.Contains(form.Identity.Voters, m.self) {
+	if m.identity == nil && m.mayFound() && slices.Contains(form.Identity.Voters, m.self) {
 		identity := form.Identity
 		identity.Self, identity.IsFormed = m.self, false
 		m.identity = &identity
@@ -168,6 +222,7 @@
 		return
 	}
 	if !slices.Contains(standing.Identity.Voters, m.self) {
+		m.follow(standing)
 		return
 	}
 	if m.identity != nil && !m.identity.IsFormed && m.identity.Cluster == standing.Identity.Cluster {
@@ -206,6 +261,18 @@
 	m.emit(Turned{Record: best.Decided, Why: "disk was lost; a majority told where things stand"})
 }
 
+func (m *Machine) follow(standing Standing) {
+	if m.identity != nil || m.founding.Disks > 0 {
+		return
+	}
+	isNewer := m.outside == nil || standing.Decided.Epoch > m.outside.Decided.Epoch
+	if !isNewer || (m.outside != nil && m.outside.Identity.Cluster != standing.Identity.Cluster) {
+		return
+	}
+	m.outside = &standing
+	m.emit(Turned{Record: standing.Decided, Why: "told standing; this machine has no vote"})
+}
+
 func (m *Machine) adopt(record Record, now time.Duration, why string) {
 	if record.Epoch <= m.ballots.Decided.Epoch || m.identity == nil || !m.identity.IsFormed {
 		return
@@ -232,7 +299,9 @@
 	}
 	if record.Primary == m.self {
 		m.renewed = now - m.timing.Renew
-		m.finishWrite(now)
+		if !m.isUnpaired() {
+			m.finishWrite(now)
+		}
 	}
 }
 
@@ -386,7 +455,7 @@
 }
 
 func (m *Machine) pump(now time.Duration) {
-	for len(m.queue) > 0 && m.pending == nil && m.round == nil && !m.isUnsettled && m.IsPrimary(now) {
+	for len(m.queue) > 0 && m.pending == nil && m.round == nil && !m.isUnsettled && !m.isUnpaired() && m.IsPrimary(now) {
 		submit := m.queue[0]
 		m.queue = m.queue[1:]
 		puts := submit.Build(m.copy)
@@ -485,7 +554,7 @@
 	if m.repairing == nil || m.repairing.peer != from || !m.isNamed() {
 		return
 	}
-	if filled.Stamp != m.copy.Stamp || m.pending != nil {
+	if filled.Stamp != m.copy.Stamp || (m.pending != nil && !m.isUnpaired()) {
 		m.offer(from, now)
 		return
 	}
