Attend synced databases, take manifests, and keep duties quiet

Cause: every control machine asked for each database's case 20 times a second, and nothing took a manifest by version or a synced instance's announcement. Ruled out: one ballot for each synced database, which costs renewals per database for no gain while one machine attends them all. Change: announcements passed to the control primary before they are answered; the control primary seeks duties first, others only once they lie idle; the seams by which instances and platform are spoken to; evidence kept per episode.

--- a/pooler/cmd/control/calls.go
+++ b/pooler/cmd/control/calls.go
@@ -27,7 +27,7 @@
 }
 
 func (c *Control) serveCalls() {
-	passes := []string{"/v1/bindings/put", "/v1/changes/book", "/v1/changes/list", "/v1/bindings/list"}
+	passes := []string{"/v1/bindings/put", "/v1/changes/book", "/v1/changes/list", "/v1/bindings/list", "/v1/manifest/replace", "/v1/manifest/fetch"}
 	for _, path := range passes {
 		c.node.Serve(path, func(_ *fastjson.Value, raw []byte, _ *http.Request) (int, any) { return c.node.Pass(path, raw) })
 	}
@@ -54,7 +54,7 @@
 func (c *Control) ready() (bool, string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.voters) == 0 {
+	if len(c.voters) == 0 && c.steer.Record().Primary == "" {
 		return false, "the fleet is not formed, or this machine does not know where it stands"
 	}
 	return true, ""
@@ -67,6 +67,9 @@
 	"/v1/changes/book":  (*Control).book,
 	"/v1/changes/list":  (*Control).changes,
 	"/v1/bindings/list": (*Control).list,
+
+	"/v1/manifest/replace": (*Control).replaceManifest,
+	"/v1/manifest/fetch":   (*Control).fetchManifest,
 }
 
 func (c *Control) onOperate(call msg.Operate, answer func(any)) {
@@ -266,7 +269,7 @@
 	}
 	duties := []map[string]any{}
 	for name, seeker := range c.seekers {
-		duties = append(duties, map[string]any{"duty": seeker.Duty, "database": name, "is_held": seeker.IsHeld(now), "seen_held_by": seeker.Holder()})
+		duties = append(duties, map[string]any{"duty": seeker.Duty, "database": strings.TrimPrefix(name, "failover/"), "is_held": seeker.IsHeld(now), "seen_held_by": seeker.Holder()})
 	}
 	body := map[string]any{
 		"node": c.node.Place().Name, "kind": view.KindControl, "what": what,
--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -19,6 +19,7 @@
 	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/coordination/takeover"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/state/synced"
 	"tansyseam.example/pooler/state/table"
@@ -53,24 +54,36 @@
 	keeper   *ballot.Keeper
 	seekers  map[string]*ballot.Seeker
 	attended map[string]bool
+	evidence map[string]*evidence
+	known    msg.CaseAnswer
+	knownAt  time.Duration
+	seekAt   time.Duration
+	peersAt  time.Duration
+	awayAt   time.Duration
+	seams    Seams
 }
 
 // Open reads the data folder and makes the program; die is told what ends
-// the process when a file cannot be synced.
-func Open(node *fleet.Node, place settings.Settings, die func(error)) (*Control, error) {
+// the process when a file cannot be synced, and seams, where given, how the
+// platform and synced instances are spoken to.
+func Open(node *fleet.Node, place settings.Settings, die func(error), seams *Seams) (*Control, error) {
 	folder, err := synced.OpenFolder(place.Data)
 	if err != nil {
 		return nil, errors.WithType(err, ErrFolder)
 	}
-	return OpenOn(node, place, folder, die)
+	return OpenOn(node, place, folder, die, seams)
 }
 
 // OpenOn does the same on any Disk.
-func OpenOn(node *fleet.Node, place settings.Settings, disk synced.Disk, die func(error)) (*Control, error) {
+func OpenOn(node *fleet.Node, place settings.Settings, disk synced.Disk, die func(error), seams *Seams) (*Control, error) {
 	c := &Control{
 		node: node, log: node.Log, store: synced.NewStore(disk, 4), die: die,
 		queue: make(chan func(), 4096), answers: map[uint64]func(epoch.Answer){},
 		asks: map[uint64]func(any){}, seekers: map[string]*ballot.Seeker{}, attended: map[string]bool{},
+		evidence: map[string]*evidence{},
+	}
+	if seams != nil {
+		c.seams = *seams
 	}
 	saved, err := epoch.Load(c.store, func(kind string, passed int) {
 		node.Counts.Add("files_unsound", int64(passed))
@@ -80,18 +93,42 @@
 		return nil, errors.WithType(err, ErrFolder)
 	}
 	now := node.Now()
-	c.machine = epoch.New(place.Name, place.Disks, epoch.DefaultTiming(), saved, now)
+	c.machine = epoch.NewFounding(place.Name, founding(place), epoch.DefaultTiming(), saved, now)
 	c.keeper = ballot.NewKeeper(dutyTerm, now)
-	c.steer = steer.New(place.Name, lease.DefaultTiming(), c.machine.Record(), c.machine.Table(), now)
+	c.steer = steer.New(place.Name, leases(place), c.machine.Record(), c.machine.Table(), now)
 	node.Saw(c.machine.Record())
 	c.listen()
 	c.serveCalls()
 	return c, nil
 }
 
+func founding(place settings.Settings) epoch.Founding {
+	if place.Losses == 0 {
+		return epoch.Founding{Disks: place.Disks, IsPaired: true}
+	}
+	return epoch.Founding{Voters: 2*place.Losses + 1, IsFounder: place.IsFounder, Seeds: place.Seeds, IsPaired: true}
+}
+
+const quietWait = 500 * time.Millisecond
+
+func leases(place settings.Settings) lease.Timing {
+	timing := lease.DefaultTiming()
+	if place.Manner == mannerPlatform {
+		timing.Wait = quietWait
+	}
+	return timing
+}
+
+const mannerPlatform = "platform"
+
+const (
+	beatPace  = 50 * time.Millisecond
+	peersPace = 300 * time.Millisecond
+)
+
 // Start begins to act; the node must have been started.
 func (c *Control) Start() {
-	c.node.Crew.Loop(c.queue, 20*time.Millisecond, c.beat)
+	c.node.Crew.Loop(c.queue, beatPace, c.beat)
 	c.node.Crew.Loop(nil, 50*time.Millisecond, c.duties)
 }
 
@@ -111,6 +148,9 @@
 		defer c.mutex.Unlock()
 		c.steer.Gather(told, c.node.Now())
 	})
+	fleet.On(c.node, func(_ string, call msg.Announce, answer func(any)) { answer(c.takeAnnouncement(call.Instance)) })
+	fleet.On(c.node, func(_ string, mark takeover.Mark, _ func(any)) { c.cover(mark) })
+	c.node.OnSynced(c.onSynced)
 	fleet.On(c.node, func(_ string, ask msg.AskCase, answer func(any)) { answer(c.onAskCase(ask)) })
 	fleet.On(c.node, func(_ string, record steer.RecordCase, answer func(any)) { c.onRecordCase(record, answer) })
 	fleet.On(c.node, func(_ string, call msg.Operate, answer func(any)) { c.onOperate(call, answer) })
@@ -125,12 +165,16 @@
 }
 
 func (c *Control) beat() {
-	var peers []string
-	for _, node := range c.node.Nodes(view.KindControl, member.IsLive, member.IsDead) {
-		peers = append(peers, node.Name)
+	if now := c.node.Now(); now >= c.peersAt+peersPace {
+		c.peersAt = now
+		peers := epoch.Peers{Links: map[string]string{}}
+		for _, node := range c.node.Nodes(view.KindControl, member.IsLive, member.IsDead) {
+			peers.Names = append(peers.Names, node.Name)
+			peers.Links[node.Link] = node.Name
+		}
+		slices.Sort(peers.Names)
+		c.step(peers)
 	}
-	slices.Sort(peers)
-	c.step(epoch.Peers{Names: peers})
 	c.step(epoch.Tick{Wall: time.Now().UnixNano()})
 }
 
@@ -221,6 +265,7 @@
 	c.node.Counts.Add("epochs_seen", 1)
 	c.log.Info("epoch", "epoch", record.Epoch, "primary", record.Primary, "backup", record.Backup, "role", role, "why", turned.Why)
 	if isNew {
+		c.roster()
 		c.note("control", "took primacy in epoch "+fmt.Sprint(record.Epoch), turned.Why)
 	}
 }
@@ -299,9 +344,19 @@
 		return msg.CaseAnswer{}
 	}
 	answer := msg.CaseAnswer{IsPrimary: true, Databases: c.steer.Databases(heard)}
-	if ask.Database != "" {
-		answer.Case = c.steer.Case(ask.Database, heard, c.wallNow(), now)
+	for _, database := range answer.Databases {
+		if c.steer.IsSynced(database, heard) {
+			answer.Synced = append(answer.Synced, database)
+		}
+	}
+	if ask.Database == "" {
+		return answer
+	}
+	if slices.Contains(answer.Synced, ask.Database) {
+		answer.Takeover = c.steer.Takeover(ask.Database, heard, c.wallNow(), now)
+		return answer
 	}
+	answer.Case = c.steer.Case(ask.Database, heard, c.wallNow(), now)
 	return answer
 }
 
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -9,19 +9,51 @@
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/protocol/platform"
+	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 	"tansyseam.example/pooler/transport/web"
 )
 
+const (
+	seekPace  = 100 * time.Millisecond
+	learnPace = time.Second
+	awayPace  = 300 * time.Millisecond
+)
+
+// The duty of all synced databases is one.
+const syncedDuty = "takeover"
+
 func (c *Control) duties() {
 	c.flush()
 	c.move()
-	answer, isOne := c.askCase("")
-	if !isOne {
+	now := c.node.Now()
+	if now < c.seekAt {
 		return
 	}
-	for _, database := range answer.Databases {
-		c.seek(database)
+	c.seekAt = now + seekPace
+	if now >= c.knownAt+learnPace || c.isPrimary() {
+		c.knownAt = now
+		if answer, isOne := c.askCase(""); isOne {
+			c.known = answer
+		}
+	}
+	for _, database := range c.known.Databases {
+		if !slices.Contains(c.known.Synced, database) {
+			c.seek("failover/"+database, func() { c.attend(database) })
+		}
+	}
+	if len(c.known.Synced) > 0 {
+		c.seek(syncedDuty, c.attendSynced)
+	}
+}
+
+func (c *Control) attendSynced() {
+	if !c.isPrimary() && c.node.Now() < c.awayAt+awayPace {
+		return
+	}
+	c.awayAt = c.node.Now()
+	for _, database := range c.known.Synced {
+		c.node.Crew.Go(func() { c.attendTakeover(database) })
 	}
 }
 
@@ -39,30 +71,32 @@
 	return answer, err == nil && isOne && answer.IsPrimary
 }
 
-func (c *Control) seek(database string) {
+func (c *Control) seek(duty string, act func()) {
 	now := c.node.Now()
-	duty := "failover/" + database
+	isPrimary := c.isPrimary()
 	c.mutex.Lock()
 	voters := c.voters
 	self := c.node.Place().Name
-	seeker, isKnown := c.seekers[database]
-	if !isKnown && len(voters) > 0 {
-		rank := slices.Index(voters, self)
+	seeker, isKnown := c.seekers[duty]
+	if rank := slices.Index(voters, self); !isKnown && rank >= 0 {
 		seeker = ballot.NewSeeker(duty, len(voters), rank+len(c.seekers)%len(voters), dutyTerm)
-		c.seekers[database] = seeker
+		c.seekers[duty] = seeker
 	}
 	if seeker == nil {
 		c.mutex.Unlock()
 		return
 	}
-	ask, isDue := seeker.Tick(now)
+	ask, isDue := ballot.Ask{}, false
+	if isPrimary || c.keeper.Idle(duty, now) > 2*dutyTerm {
+		ask, isDue = seeker.Tick(now)
+	}
 	isHeld := seeker.IsHeld(now)
 	c.mutex.Unlock()
 	if isDue {
 		c.canvass(seeker, ask, voters, self)
 	}
 	if isHeld {
-		c.node.Crew.Go(func() { c.attend(database) })
+		act()
 	}
 }
 
@@ -98,26 +132,34 @@
 	}
 }
 
-func (c *Control) attend(database string) {
+func (c *Control) alone(database string, act func()) {
 	c.mutex.Lock()
-	if c.attended[database] {
-		c.mutex.Unlock()
-		return
-	}
+	isUnderWay := c.attended[database]
 	c.attended[database] = true
 	c.mutex.Unlock()
+	if isUnderWay {
+		return
+	}
 	defer func() {
 		c.mutex.Lock()
 		delete(c.attended, database)
 		c.mutex.Unlock()
 	}()
+	act()
+}
+
+func (c *Control) attend(database string) {
+	c.node.Crew.Go(func() { c.alone(database, func() { c.decide(database) }) })
+}
+
+func (c *Control) decide(database string) {
 	answer, isOne := c.askCase(database)
 	if !isOne || answer.Case.Database != database {
 		return
 	}
 	for _, effect := range failover.Step(answer.Case, failover.DefaultTiming()) {
 		if record, isRecord := effect.(failover.Record); isRecord {
-			if !c.recordCase(answer.Case, record) {
+			if !c.recordCase(answer.Case.Writer, answer.Case.IsKnown, record) {
 				return
 			}
 			continue
@@ -128,26 +170,35 @@
 	}
 }
 
-func (c *Control) recordCase(at failover.Case, record failover.Record) bool {
+func (c *Control) recordCase(before view.Writer, isKnown bool, record failover.Record) bool {
 	ask := steer.RecordCase{
-		Before: at.Writer, IsKnown: at.IsKnown, After: record.Writer, What: record.What,
+		Before: before, IsKnown: isKnown, After: record.Writer, What: record.What,
 		Evidence: record.Evidence, By: c.node.Place().Name,
 	}
-	address := c.node.Self().Link
-	if !c.isPrimary() {
-		address, _ = c.node.Primary()
+	if !c.askRecord(ask) {
+		c.node.Counts.Add("cases_not_recorded", 1)
+		return false
 	}
+	c.log.Info("writer role", "database", record.Writer.Database, "what", record.What, "evidence", record.Evidence, "term", record.Writer.Term, "phase", record.Writer.Phase)
+	return true
+}
+
+const recordBound = 2 * time.Second
+
+func (c *Control) askRecord(ask steer.RecordCase) bool {
+	if c.isPrimary() {
+		answered := make(chan msg.Recorded, 1)
+		c.onRecordCase(ask, func(answer any) { answered <- answer.(msg.Recorded) })
+		recorded, isAnswered := run.Take(answered, time.After(recordBound))
+		return isAnswered && recorded.IsKept
+	}
+	address, _ := c.node.Primary()
 	if address == "" {
 		return false
 	}
-	reply, err := c.node.Hub.Call(address, ask, 2*time.Second)
+	reply, err := c.node.Hub.Call(address, ask, recordBound)
 	recorded, isOne := reply.(msg.Recorded)
-	if err != nil || !isOne || !recorded.IsKept {
-		c.node.Counts.Add("cases_not_recorded", 1)
-		return false
-	}
-	c.log.Info("writer role", "database", at.Database, "what", record.What, "evidence", record.Evidence, "term", record.Writer.Term, "phase", record.Writer.Phase)
-	return true
+	return err == nil && isOne && recorded.IsKept
 }
 
 func (c *Control) promote(call failover.Promote) {
--- /dev/null
+++ b/pooler/cmd/control/manifests.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/base64"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fastjson"
+
+	"tansyseam.example/pooler/cmd/fleet"
+	"tansyseam.example/pooler/coordination/epoch"
+	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/protocol/manifest"
+	"tansyseam.example/pooler/state/table"
+)
+
+func pack(raw []byte) []byte {
+	if len(raw) == 0 {
+		return nil
+	}
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	_, _ = writer.Write(raw)
+	_ = writer.Close()
+	return packed.Bytes()
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	raw, err := io.ReadAll(reader)
+	return raw, errors.Trace(err)
+}
+
+func (c *Control) replaceManifest(value *fastjson.Value, _ string, _ []byte, answer func(any)) {
+	set, raw, faults := manifest.Versioned(value)
+	if len(faults) > 0 {
+		c.node.Counts.Add("manifests_refused", 1)
+		answer(operated(http.StatusBadRequest, fleet.Refuse("the manifest is broken; nothing of it was taken", faults...)))
+		return
+	}
+	packed := pack(raw)
+	isNew := false
+	c.submit(func(held *table.Table) []table.Put {
+		c.mutex.Lock()
+		wall := c.wallNow()
+		c.mutex.Unlock()
+		puts, _ := steer.PutManifest(held, set.Version, set, packed, "manifest", wall)
+		isNew = len(puts) > 0
+		return puts
+	}, func(done epoch.Answer) {
+		if !done.IsKept {
+			refusal := fleet.Refuse("the control primary changed under the call")
+			refusal.Outcome, refusal.Retry = "unknown", 500
+			answer(operated(http.StatusServiceUnavailable, refusal))
+			return
+		}
+		if isNew {
+			c.node.Counts.Add("manifests_taken", 1)
+			c.log.Info("manifest taken", "version", set.Version, "bindings", len(set.Bindings), "databases", len(set.Databases))
+		}
+		answer(operated(http.StatusOK, map[string]any{"version": set.Version}))
+	})
+}
+
+func (c *Control) fetchManifest(_ *fastjson.Value, _ string, _ []byte, answer func(any)) {
+	c.mutex.Lock()
+	held := c.steer.Table()
+	c.mutex.Unlock()
+	set, packed, isHeld := steer.Raw(held)
+	if !isHeld {
+		answer(operated(http.StatusNotFound, fleet.Refuse("no manifest was taken")))
+		return
+	}
+	if len(packed) == 0 {
+		answer(operated(http.StatusOK, manifest.Write(set)))
+		return
+	}
+	raw, err := unpack(packed)
+	if err != nil {
+		answer(operated(http.StatusInternalServerError, fleet.Refuse("the manifest's bytes cannot be read")))
+		return
+	}
+	answer(operated(http.StatusOK, map[string]any{"version": set.Version, "raw": base64.StdEncoding.EncodeToString(raw)}))
+}
--- /dev/null
+++ b/pooler/cmd/control/takeovers.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"time"
+
+	"tansyseam.example/pooler/cmd/settings"
+	"tansyseam.example/pooler/coordination/failover"
+	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/protocol/stream"
+	"tansyseam.example/pooler/state/view"
+)
+
+// Reply is what an instance answered to an order.
+type Reply struct {
+	Role     string
+	Term     uint64
+	Position view.Position
+	// IsBusy says that it lives and gave no row, IsGone that no instance of
+	// that name is at the address; Err that nothing was answered.
+	IsBusy bool
+	IsGone bool
+	Err    error
+}
+
+// Seams is how synced instances and their platform are spoken to.
+type Seams struct {
+	// Order gives an instance one of the stream package's orders.
+	Order func(address, database, instance, order string, term uint64, bound time.Duration) Reply
+	// Promote makes the platform's one call and gives the status answered.
+	Promote func(place settings.Settings, database, instance, holder string, fence uint64) (status int, err error)
+}
+
+const (
+	announceBound = 800 * time.Millisecond
+	orderBound    = 400 * time.Millisecond
+	forgetLooks   = 2 * time.Minute
+)
+
+func (c *Control) onSynced(instance view.Instance) (string, bool) {
+	if taken := c.takeAnnouncement(instance); taken.IsTaken {
+		return taken.Door, true
+	}
+	address, _ := c.node.Primary()
+	if address == "" || address == c.node.Self().Link {
+		return "", false
+	}
+	reply, err := c.node.Hub.Call(address, msg.Announce{Instance: instance}, announceBound)
+	taken, isOne := reply.(msg.Announced)
+	if err != nil || !isOne || !taken.IsTaken {
+		c.node.Counts.Add("announcements_not_passed", 1)
+		return "", false
+	}
+	c.node.Take(instance)
+	return taken.Door, true
+}
+
+func (c *Control) takeAnnouncement(instance view.Instance) msg.Announced {
+	if !c.isPrimary() || !c.node.Take(instance) {
+		return msg.Announced{}
+	}
+	c.roster()
+	return msg.Announced{IsTaken: true, Door: c.node.Self().Door}
+}
+
+func (c *Control) roster() {
+	var instances []view.Instance
+	for _, one := range c.node.Instances(5 * time.Minute) {
+		instances = append(instances, one.Instance)
+	}
+	c.mutex.Lock()
+	isNew := c.steer.Roster(instances)
+	c.mutex.Unlock()
+	if isNew {
+		c.flush()
+	}
+}
+
+func (c *Control) cover(mark takeover.Mark) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.steer.Covers(mark)
+}
+
+type episode struct {
+	term   uint64
+	phase  string
+	intent string
+	since  int64
+}
+
+func episodeOf(writer view.Writer) episode {
+	one := episode{term: writer.Term, phase: writer.Phase, intent: writer.Intent}
+	if writer.Phase == view.PhaseClosing {
+		one.since = writer.Since
+	}
+	return one
+}
+
+type look struct {
+	seen  takeover.Seen
+	at    time.Duration
+	isOut bool
+}
+
+type made struct {
+	instance string
+	at       time.Duration
+	status   int
+}
+
+// evidence is what this machine itself learned of a synced database; what it
+// saw counts as seen after the settling only within one episode.
+type evidence struct {
+	episode episode
+	looks   map[string]*look
+	calls   []*made
+}
+
+func (e *evidence) turn(to episode) {
+	if e.episode == to {
+		return
+	}
+	e.episode, e.calls = to, nil
+	for _, one := range e.looks {
+		one.seen.IsAfter = false
+	}
+}
+
+func (c *Control) evidenceOf(database string) *evidence {
+	held, isHeld := c.evidence[database]
+	if !isHeld {
+		held = &evidence{looks: map[string]*look{}}
+		c.evidence[database] = held
+	}
+	return held
+}
+
+func (c *Control) show(at *takeover.Case) {
+	now := c.node.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	held := c.evidenceOf(at.Database)
+	held.turn(episodeOf(at.Writer))
+	at.Self, at.Seen = c.node.Place().Name, map[string]takeover.Seen{}
+	for name, one := range held.looks {
+		if one.at == 0 {
+			continue
+		}
+		if now-one.at > forgetLooks && !one.isOut {
+			delete(held.looks, name)
+			continue
+		}
+		seen := one.seen
+		seen.Age = now - one.at
+		at.Seen[name] = seen
+	}
+	for _, call := range held.calls {
+		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
+	}
+}
+
+func (c *Control) attendTakeover(database string) {
+	c.alone(database, func() { c.decideTakeover(database) })
+}
+
+func (c *Control) decideTakeover(database string) {
+	answer, isOne := c.askCase(database)
+	if !isOne || answer.Takeover.Database != database {
+		return
+	}
+	at := answer.Takeover
+	c.show(&at)
+	for _, effect := range takeover.Step(at, takeover.DefaultTiming()) {
+		if record, isRecord := effect.(failover.Record); isRecord {
+			if !c.recordCase(at.Writer, at.IsKnown, record) {
+				return
+			}
+			c.mutex.Lock()
+			c.evidenceOf(database).turn(episodeOf(record.Writer))
+			c.mutex.Unlock()
+			continue
+		}
+		c.carryTakeover(at, effect)
+	}
+}
+
+func (c *Control) carryTakeover(at takeover.Case, effect any) {
+	if ask, isAsk := effect.(takeover.Ask); isAsk {
+		c.order(at, ask.Instance, ask.Address, stream.OrderStatus, 0)
+		return
+	}
+	if down, isDown := effect.(takeover.StepDown); isDown {
+		c.log.Info("order to step down", "database", at.Database, "instance", down.Instance, "term", down.Term)
+		c.node.Counts.Add("step_down_orders", 1)
+		c.order(at, down.Instance, down.Address, stream.OrderStepDown, down.Term)
+		return
+	}
+	if mark, isMark := effect.(takeover.Mark); isMark {
+		c.sendMark(mark)
+		return
+	}
+	if call, isCall := effect.(takeover.Promote); isCall {
+		c.promoteSynced(call)
+	}
+}
+
+func (c *Control) sendMark(mark takeover.Mark) {
+	if c.isPrimary() {
+		c.cover(mark)
+		return
+	}
+	if address, _ := c.node.Primary(); address != "" {
+		c.node.Hub.Send(address, mark)
+	}
+}
+
+func (c *Control) order(at takeover.Case, instance, address, order string, term uint64) {
+	if c.seams.Order == nil {
+		return
+	}
+	c.mutex.Lock()
+	held := c.evidenceOf(at.Database)
+	one, isMet := held.looks[instance]
+	if !isMet {
+		one = &look{}
+		held.looks[instance] = one
+	}
+	isUnderWay, asked := one.isOut, held.episode
+	one.isOut = true
+	c.mutex.Unlock()
+	if isUnderWay {
+		return
+	}
+	c.node.Counts.Add("orders", 1)
+	c.node.Crew.Go(func() {
+		reply := c.seams.Order(address, at.Database, instance, order, term, orderBound)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		one.isOut, one.at = false, c.node.Now()
+		one.seen = takeover.Seen{
+			IsAnswered: reply.Err == nil && !reply.IsBusy && !reply.IsGone, IsBusy: reply.IsBusy, IsGone: reply.IsGone,
+			Role: reply.Role, Term: reply.Term, Position: reply.Position,
+			IsAfter: at.IsSettled && held.episode == asked && episodeOf(at.Writer) == asked, Event: at.Event, Tenure: at.Tenure,
+		}
+	})
+}
+
+func (c *Control) promoteSynced(call takeover.Promote) {
+	if c.seams.Promote == nil {
+		return
+	}
+	c.node.Counts.Add("promote_calls", 1)
+	one := &made{instance: call.Instance, at: c.node.Now()}
+	c.mutex.Lock()
+	held := c.evidenceOf(call.Database)
+	held.calls = append(held.calls, one)
+	c.mutex.Unlock()
+	c.node.Crew.Go(func() {
+		status, err := c.seams.Promote(c.node.Place(), call.Database, call.Instance, call.Holder, call.Fence)
+		c.log.Info("promote call made", "database", call.Database, "instance", call.Instance, "fence", call.Fence, "status", status, "error", err)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		if err == nil {
+			one.status = status
+		}
+	})
+}
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"os"
 	"reflect"
@@ -56,6 +57,10 @@
 	record    epoch.Record
 	place     settings.Settings
 	heard     func(view.Instance)
+	synced    func(view.Instance) (door string, isTaken bool)
+	sweptAt   time.Duration
+	found     map[string]view.Node
+	foundAt   time.Duration
 
 	calls   map[string]Call
 	listens map[reflect.Type]Listen
@@ -111,6 +116,10 @@
 // OnInstance sets who hears of announcements.
 func (n *Node) OnInstance(act func(view.Instance)) { n.heard = act }
 
+// OnSynced sets who takes the announcements of synced instances to the control
+// primary; where nobody does they are refused.
+func (n *Node) OnSynced(act func(view.Instance) (door string, isTaken bool)) { n.synced = act }
+
 // Start opens link and door and begins to beat.
 func (n *Node) Start() error {
 	place := n.Place()
@@ -212,14 +221,22 @@
 	return n.members.Watched()
 }
 
-// Find gives a known node by name.
+const foundFor = 100 * time.Millisecond
+
+// Find gives a known node by name, as known a tenth of a second ago.
 func (n *Node) Find(name string) (view.Node, bool) {
-	for _, node := range n.Nodes("", member.IsLive, member.IsDead) {
-		if node.Name == name {
-			return node, true
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.Now()
+	node, isKnown := n.found[name]
+	if now-n.foundAt > foundFor || !isKnown {
+		n.found, n.foundAt = map[string]view.Node{}, now
+		for _, one := range n.members.Nodes(member.IsLive, member.IsDead) {
+			n.found[one.Name] = one
 		}
+		node, isKnown = n.found[name]
 	}
-	return view.Node{}, false
+	return node, isKnown
 }
 
 // Self gives this node's own entry.
@@ -265,45 +282,93 @@
 	return list
 }
 
-func (n *Node) onAnnounce(body *fastjson.Value, _ []byte, _ *http.Request) (int, any) {
-	instance := view.Instance{
-		Name: string(body.GetStringBytes("instance")), Database: string(body.GetStringBytes("database")),
-		Address: string(body.GetStringBytes("address")), Zone: string(body.GetStringBytes("zone")),
-		Role: string(body.GetStringBytes("role")), Birth: string(body.GetStringBytes("birth")),
-		Term:        body.GetUint64("term"),
-		Position:    view.Position{Term: body.GetUint64("position", "term"), Index: body.GetUint64("position", "index")},
-		IsLeaving:   body.GetBool("leaving"),
-		Connections: body.GetInt("connections"), Slots: body.GetInt("slots"),
-	}
+// Take notes what an instance says of itself; false where it belongs to
+// another database than it said before. A late call changes nothing.
+func (n *Node) Take(instance view.Instance) bool {
 	n.mutex.Lock()
 	before, isKnown := n.instances[instance.Name]
 	if isKnown && instance.IsForeign(before.Instance) {
 		n.mutex.Unlock()
 		n.Counts.Add("announcements_foreign", 1)
-		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to database " + before.Instance.Database)
+		return false
 	}
 	now := n.Now()
-	heard := &Heard{Instance: instance, At: now}
-	n.instances[instance.Name] = heard
-	for name, other := range n.instances {
-		if now-other.At > 5*time.Minute {
-			delete(n.instances, name)
-		}
+	if isKnown && isLate(instance, *before, now) {
+		n.mutex.Unlock()
+		n.Counts.Add("announcements_late", 1)
+		return true
+	}
+	n.instances[instance.Name] = &Heard{Instance: instance, At: now}
+	if now > n.sweptAt+10*time.Second {
+		n.sweptAt = now
+		maps.DeleteFunc(n.instances, func(_ string, other *Heard) bool { return now-other.At > 5*time.Minute })
 	}
 	n.mutex.Unlock()
-	isTurned := !isKnown || before.Instance.Role != instance.Role || before.Instance.Birth != instance.Birth || before.Instance.IsLeaving != instance.IsLeaving
+	isTurned := !isKnown || before.Instance.Role != instance.Role || before.Instance.Birth != instance.Birth ||
+		before.Instance.IsLeaving != instance.IsLeaving || before.Instance.IsGone != instance.IsGone
 	if isTurned {
-		n.Log.Info("instance", "instance", instance.Name, "role", instance.Role, "term", instance.Term, "leaving", instance.IsLeaving)
+		n.Log.Info("instance", "instance", instance.Name, "role", instance.Role, "term", instance.Term, "leaving", instance.IsLeaving, "gone", instance.IsGone)
 	}
 	n.Counts.Add("announcements", 1)
 	if n.heard != nil {
 		n.heard(instance)
 	}
-	var doors []string
+	return true
+}
+
+const countsAnew = 5 * time.Second
+
+func isLate(instance view.Instance, before Heard, now time.Duration) bool {
+	isBehind := instance.IsSynced && instance.Calls <= before.Instance.Calls
+	return isBehind && (before.Instance.IsGone || now-before.At < countsAnew)
+}
+
+func (n *Node) onAnnounce(body *fastjson.Value, _ []byte, _ *http.Request) (int, any) {
+	instance := view.Instance{
+		Name: string(body.GetStringBytes("instance")), Database: string(body.GetStringBytes("database")),
+		Address: string(body.GetStringBytes("address")), Zone: string(body.GetStringBytes("zone")),
+		Role: string(body.GetStringBytes("role")), Birth: string(body.GetStringBytes("birth")),
+		Term:        body.GetUint64("term"),
+		Position:    view.Position{Term: body.GetUint64("position", "term"), Index: body.GetUint64("position", "index")},
+		IsLeaving:   body.GetBool("leaving"),
+		Connections: body.GetInt("connections"), Slots: body.GetInt("slots"),
+		IsSynced: body.GetBool("synced"), IsGone: body.GetBool("gone"), Calls: body.GetUint64("calls"),
+	}
+	return n.Announce(instance)
+}
+
+// Announce takes an instance's announcement and gives the answer to it.
+func (n *Node) Announce(instance view.Instance) (int, any) {
+	answer := map[string]any{}
+	isTaken := true
+	if instance.IsSynced {
+		door, isPassed := n.passOn(instance)
+		if !isPassed {
+			refusal := Refuse("no control primary took the announcement")
+			refusal.Outcome, refusal.Retry = "unknown", 500
+			return http.StatusServiceUnavailable, refusal
+		}
+		answer["door"] = door
+	}
+	if !instance.IsSynced || n.synced == nil {
+		isTaken = n.Take(instance)
+	}
+	if !isTaken {
+		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to another database")
+	}
+	doors := []string{}
 	for _, node := range n.Nodes("", member.IsLive) {
 		doors = append(doors, node.Door)
 	}
-	return http.StatusOK, map[string]any{"nodes": doors}
+	answer["nodes"] = doors
+	return http.StatusOK, answer
+}
+
+func (n *Node) passOn(instance view.Instance) (string, bool) {
+	if n.synced == nil {
+		return "", false
+	}
+	return n.synced(instance)
 }
 
 // Refusal is the body of a call that was not taken.
--- a/pooler/cmd/seamc/main.go
+++ b/pooler/cmd/seamc/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	os.Exit(start.Main("seamc", os.Args[1:], func(node *fleet.Node, place settings.Settings, die func(error)) (start.Program, error) {
-		made, err := control.Open(node, place, die)
+		made, err := control.Open(node, place, die, nil)
 		if err != nil {
 			return start.Program{}, err
 		}
--- a/pooler/coordination/ballot/ballot.go
+++ b/pooler/coordination/ballot/ballot.go
@@ -139,6 +139,11 @@
 	return Vote{Duty: ask.Duty, Go: ask.Go, IsGranted: true, Holder: from, Left: k.grants[ask.Duty].until - now}
 }
 
+// Idle gives for how long no vote of this machine has bound a duty.
+func (k *Keeper) Idle(duty string, now time.Duration) time.Duration {
+	return max(now-max(k.grants[duty].until, k.hold), 0)
+}
+
 // Seeker seeks one duty and keeps it while it can.
 type Seeker struct {
 	Duty    string
--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -47,8 +47,10 @@
 	Position   view.Position
 	// IsAfter says that it was asked after the record was settled.
 	IsAfter bool
-	// Event is the last one shown by a case before it was asked.
-	Event uint64
+	// Event is the last one that a case of that tenure showed before it was
+	// asked.
+	Event  uint64
+	Tenure string
 }
 
 // Call is the outcome of one promote call that the holder made.
@@ -338,10 +340,11 @@
 	name := at.Writer.Primary
 	seen := at.Seen[name]
 	isTelling := seen.IsAnswered && seen.Role == view.RolePrimary && seen.Term == at.Writer.Term
-	if !at.IsWhole() && isTelling && seen.Event >= at.Event {
+	isTelling = isTelling && seen.Event >= at.Event && seen.Tenure == at.Tenure
+	if !at.IsWhole() && isTelling {
 		effects = append(effects, Mark{Database: at.Database, Tenure: at.Tenure, Event: at.Event, Position: seen.Position})
 	}
-	isWanted := !at.IsWhole() && !(isTelling && seen.Event >= at.Event)
+	isWanted := !at.IsWhole() && !isTelling
 	isDoubted := at.isQuiet(primary, timing) || at.role(primary) == view.RoleReplica
 	if isMet && (isWanted || isDoubted) && at.isDue(name, timing.Idle) {
 		effects = append(effects, ask(primary))
--- /dev/null
+++ b/pooler/protocol/manifest/versioned.go
@@ -0,0 +1,87 @@
+package manifest
+
+import (
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"tansyseam.example/pooler/protocol/schema"
+	"tansyseam.example/pooler/state/view"
+)
+
+func span(value *fastjson.Value, key string) time.Duration {
+	return time.Duration(value.GetInt64(key)) * time.Millisecond
+}
+
+// Versioned reads a whole manifest whose shape was checked, with the bytes
+// that the operator sent, and gives every reason why it cannot be taken.
+func Versioned(value *fastjson.Value) (view.Set, []byte, []schema.Fault) {
+	set := view.Set{Version: value.GetUint64("version")}
+	var faults []schema.Fault
+	fault := func(reason, path string, parts ...any) {
+		faults = append(faults, schema.Fault{Path: fmt.Sprintf(path, parts...), Reason: reason})
+	}
+	if set.Version == 0 {
+		fault("a version is 1 or more", "/version")
+	}
+	known := map[string]bool{}
+	for at, item := range value.GetArray("databases") {
+		database := view.Database{
+			Name: string(item.GetStringBytes("name")), Connections: item.GetInt("connections"), Synced: item.GetInt("synced"),
+		}
+		if known[database.Name] {
+			fault(fmt.Sprintf("database %q stands twice", database.Name), "/databases/%d/name", at)
+		}
+		known[database.Name] = true
+		set.Databases = append(set.Databases, database)
+	}
+	seen := map[string]bool{}
+	for at, item := range value.GetArray("bindings") {
+		binding := view.Binding{
+			Name: string(item.GetStringBytes("name")), Database: string(item.GetStringBytes("database")),
+			Freshness: span(item, "freshness_ms"), IsOwn: item.GetBool("own"), Timeout: span(item, "timeout_ms"),
+			Target: span(item, "target_ms"), Priority: item.GetInt("priority"), Tries: item.GetInt("tries"),
+		}
+		if seen[binding.Name] {
+			fault(fmt.Sprintf("name %q stands twice", binding.Name), "/bindings/%d/name", at)
+		}
+		if !known[binding.Database] {
+			fault(fmt.Sprintf("unknown database %q", binding.Database), "/bindings/%d/database", at)
+		}
+		if binding.Timeout == 0 {
+			fault("a statement needs time: 1 and more", "/bindings/%d/timeout_ms", at)
+		}
+		seen[binding.Name] = true
+		set.Bindings = append(set.Bindings, binding)
+	}
+	limits := value.Get("limits")
+	set.Limits = view.Limits{Message: limits.GetInt("message_bytes"), Idle: span(limits, "idle_ms"), Inside: span(limits, "inside_ms")}
+	raw, err := base64.StdEncoding.DecodeString(string(value.GetStringBytes("raw")))
+	if err != nil {
+		fault("not base64", "/raw")
+	}
+	return set, raw, faults
+}
+
+// Write gives a manifest in the product's own form.
+func Write(set view.Set) map[string]any {
+	bindings, databases := []map[string]any{}, []map[string]any{}
+	for _, binding := range set.Bindings {
+		bindings = append(bindings, map[string]any{
+			"name": binding.Name, "database": binding.Database, "freshness_ms": binding.Freshness.Milliseconds(), "own": binding.IsOwn,
+			"timeout_ms": binding.Timeout.Milliseconds(), "target_ms": binding.Target.Milliseconds(),
+			"priority": binding.Priority, "tries": binding.Tries,
+		})
+	}
+	for _, database := range set.Databases {
+		databases = append(databases, map[string]any{"name": database.Name, "connections": database.Connections, "synced": database.Synced})
+	}
+	return map[string]any{
+		"version": set.Version, "bindings": bindings, "databases": databases,
+		"limits": map[string]any{
+			"message_bytes": set.Limits.Message, "idle_ms": set.Limits.Idle.Milliseconds(), "inside_ms": set.Limits.Inside.Milliseconds(),
+		},
+	}
+}
--- a/pooler/protocol/msg/msg.go
+++ b/pooler/protocol/msg/msg.go
@@ -11,6 +11,8 @@
 	"tansyseam.example/pooler/coordination/goes"
 	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/state/view"
 )
 
 // PassNews asks a watched peer to pass an ask on to the primary.
@@ -32,14 +34,27 @@
 	Primary     string
 }
 
-// AskCase asks the primary for a database's case.
+// AskCase asks the primary for the databases, and for the case of one.
 type AskCase struct{ Database string }
 
+// Announce passes a synced instance's announcement on to the control primary.
+type Announce struct{ Instance view.Instance }
+
+// Announced is its answer; Door is where later announcements had best go.
+type Announced struct {
+	IsTaken bool
+	Door    string
+}
+
 // CaseAnswer gives it.
 type CaseAnswer struct {
 	IsPrimary bool
 	Databases []string
 	Case      failover.Case
+	// Synced are those of the databases whose instances judge themselves when
+	// a commit is safe; Takeover is the case of one of them.
+	Synced   []string
+	Takeover takeover.Case
 }
 
 // Recorded answers a RecordCase.
@@ -59,6 +74,7 @@
 		own := []any{
 			steer.AskNews{}, steer.Told{}, steer.News{}, PassNews{}, Operate{}, Operated{}, AskCase{}, CaseAnswer{}, steer.RecordCase{},
 			Recorded{}, goes.Ask{}, goes.Answer{}, goes.Legacy{}, goes.LegacyTaken{}, Query{}, QueryAnswer{}, ballot.Ask{}, ballot.Vote{}, member.Gossip{},
+			Announce{}, Announced{}, takeover.Mark{},
 		}
 		for _, body := range append(own, epoch.Messages()...) {
 			gob.Register(body)
