Hold the takeover and the control primary's side of it to their table of cases

One fault found by them: a replica that has ended and answered still could have been chosen; it now counts as lost. Change: a test per row of the table, per suspicion and per outcome; rolls, events, sights, settling and manifests by version. Conclusion: takeover's and steer's tests pass.

--- /dev/null
+++ b/pooler/coordination/steer/synced_test.go
@@ -0,0 +1,237 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/coordination/lease"
+	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/state/table"
+	"tansyseam.example/pooler/state/view"
+)
+
+func instance(name, role string) view.Instance {
+	return view.Instance{Name: name, Database: "db", Address: name + ":1", Role: role, IsSynced: true}
+}
+
+func (d *desk) heardAll() []Heard {
+	return []Heard{{Instance: instance("a", view.RolePrimary), At: d.now}, {Instance: instance("b", view.RoleReplica), At: d.now}}
+}
+
+func (d *desk) open(term uint64) {
+	d.write(Write{Build: func(*table.Table) []table.Put {
+		writer := view.Writer{Database: "db", Term: term, Primary: "a", Phase: view.PhaseOpen, IsSynced: true}
+		return []table.Put{{Key: view.KeyDB + "db", Data: table.Encode(writer)}}
+	}, Done: func() {}})
+}
+
+func (d *desk) takeover() takeover.Case { return d.Takeover("db", d.heardAll(), d.wall, d.now) }
+
+func TestRoll(t *testing.T) {
+	Convey("The roll's number rises when an instance appears or changes, not with repeats or positions, and is of synced instances only", t, func() {
+		d := newDesk(1, table.New())
+		first := instance("a", view.RolePrimary)
+		So(d.Roster([]view.Instance{first}), ShouldBeTrue)
+		again := first
+		again.Calls, again.Position, again.Term = 7, view.Position{Term: 3, Index: 9}, 3
+		So(d.Roster([]view.Instance{again}), ShouldBeFalse)
+		for _, change := range []func(*view.Instance){
+			func(i *view.Instance) { i.Address = "x:1" }, func(i *view.Instance) { i.Zone = "z" }, func(i *view.Instance) { i.Role = view.RoleReplica },
+			func(i *view.Instance) { i.IsLeaving = true }, func(i *view.Instance) { i.IsGone = true }, func(i *view.Instance) { i.Connections = 9 },
+			func(i *view.Instance) { i.Slots = 9 },
+		} {
+			change(&again)
+			So(d.Roster([]view.Instance{again}), ShouldBeTrue)
+		}
+		So(d.Roster([]view.Instance{again, instance("b", view.RoleReplica)}), ShouldBeTrue)
+		So(d.Roster([]view.Instance{again, instance("b", view.RoleReplica), {Name: "plain", Database: "x"}}), ShouldBeFalse)
+	})
+	Convey("An ask with an older roll, or one of another tenure, is answered at once with the whole; one that has it waits", t, func() {
+		d := newDesk(1, table.New())
+		d.ask("d1", table.Stamp{}, false)
+		d.Roster([]view.Instance{instance("a", view.RolePrimary)})
+		asking := AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp}
+		d.Ask(asking, 1, d.now)
+		replies := d.Flush(true, d.wall, d.now)
+		So(len(replies), ShouldEqual, 1)
+		So(replies[0].News.Roll.Number, ShouldEqual, 1)
+		So(len(replies[0].News.Instances), ShouldEqual, 1)
+		asking.Roll = replies[0].News.Roll
+		d.Ask(asking, 2, d.now)
+		So(d.Flush(true, d.wall, d.now), ShouldBeEmpty)
+		d.Roster([]view.Instance{instance("a", view.RoleReplica)})
+		So(d.Flush(true, d.wall, d.now)[0].News.Instances[0].Role, ShouldEqual, view.RoleReplica)
+		asking.Roll = Roll{Tenure: "c9@1", Number: 2}
+		d.Ask(asking, 3, d.now)
+		So(len(d.Flush(true, d.wall, d.now)), ShouldEqual, 1)
+	})
+	Convey("An ask waits as long as the timing says", t, func() {
+		d := newDesk(1, table.New())
+		d.Machine = New("c1", func() lease.Timing { one := lease.DefaultTiming(); one.Wait = 500 * time.Millisecond; return one }(), d.Record(), d.held, d.now)
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData}, 1, d.now)
+		d.pass(400 * time.Millisecond)
+		So(d.Flush(true, d.wall, d.now), ShouldBeEmpty)
+		d.pass(100 * time.Millisecond)
+		So(len(d.Flush(true, d.wall, d.now)), ShouldEqual, 1)
+	})
+}
+
+func TestWholeReports(t *testing.T) {
+	ask := func(d *desk, node string, birth int64, high uint64) {
+		d.Ask(AskNews{Node: node, Kind: view.KindData, Have: d.held.Stamp, Birth: birth, Highs: map[string]view.Position{"db": {Term: 3, Index: high}}}, 1, d.now)
+		d.settle()
+		d.pass(Wait)
+		d.Flush(true, d.wall, d.now)
+	}
+	covered := func(d *desk) {
+		at := d.takeover()
+		d.Covers(takeover.Mark{Database: "db", Tenure: at.Tenure, Event: at.Event, Position: view.Position{Term: 3, Index: 50}})
+	}
+	started := func() *desk {
+		d := newDesk(1, table.New())
+		d.open(3)
+		ask(d, "d1", 7, 40)
+		ask(d, "d1", 7, 40)
+		return d
+	}
+	Convey("A new tenure knows nothing of what was acknowledged before, until a position of the primary covers it", t, func() {
+		d := started()
+		So(d.takeover().IsWhole(), ShouldBeFalse)
+		covered(d)
+		at := d.takeover()
+		So(at.IsWhole(), ShouldBeTrue)
+		So(at.Bound, ShouldResemble, view.Position{Term: 3, Index: 50})
+		So(at.Writer.High, ShouldResemble, view.Position{Term: 3, Index: 40})
+		ask(d, "d1", 7, 60)
+		So(d.takeover().Bound, ShouldResemble, view.Position{Term: 3, Index: 60})
+	})
+	Convey("A mark of another tenure, or of an event not shown, covers nothing", t, func() {
+		d := started()
+		d.Covers(takeover.Mark{Database: "db", Tenure: "c9@1", Event: 1})
+		d.Covers(takeover.Mark{Database: "db", Tenure: d.takeover().Tenure, Event: 99})
+		So(d.takeover().IsWhole(), ShouldBeFalse)
+	})
+	Convey("A node born again, or one whose lease lapsed, breaks it; a new term makes it whole", t, func() {
+		d := started()
+		covered(d)
+		ask(d, "d1", 8, 0)
+		So(d.takeover().IsWhole(), ShouldBeFalse)
+		covered(d)
+		So(d.takeover().IsWhole(), ShouldBeTrue)
+		d.pass(3 * time.Second)
+		So(d.takeover().IsWhole(), ShouldBeFalse)
+		d.open(4)
+		So(d.takeover().IsWhole(), ShouldBeTrue)
+	})
+	Convey("A lapse between two asks of the same node is noticed too", t, func() {
+		d := started()
+		covered(d)
+		d.pass(3 * time.Second)
+		ask(d, "d1", 7, 40)
+		So(d.takeover().IsWhole(), ShouldBeFalse)
+	})
+}
+
+func TestSyncedSights(t *testing.T) {
+	tell := func(d *desk, node string, report Report) {
+		report.Instance = instance("a", view.RolePrimary)
+		d.Ask(AskNews{Node: node, Kind: view.KindData, Have: d.held.Stamp, Reports: []Report{report}}, 1, d.now)
+		d.settle()
+		d.Flush(true, d.wall, d.now)
+	}
+	Convey("Leased nodes with evidence of the last second are counted, by what they saw", t, func() {
+		d := newDesk(1, table.New())
+		d.open(3)
+		for range 2 {
+			tell(d, "d1", Report{Answered: time.Hour, Refused: 2})
+			tell(d, "d2", Report{Answered: 1500 * time.Millisecond, Overdue: 1400 * time.Millisecond})
+			tell(d, "d3", Report{Answered: 400 * time.Millisecond})
+			tell(d, "d4", Report{Answered: time.Hour})
+			d.pass(Wait)
+			d.Flush(true, d.wall, d.now)
+		}
+		sight := d.takeover().Sights[0]
+		So(sight.Tried, ShouldEqual, 3)
+		So(sight.Refused, ShouldEqual, 1)
+		So(sight.Overdue, ShouldEqual, 1)
+		So(sight.Answered, ShouldEqual, 400*time.Millisecond+Wait)
+		d.pass(1100 * time.Millisecond)
+		So(d.takeover().Sights[0].Tried, ShouldEqual, 0)
+		So(d.takeover().Sights[0].Blank, ShouldEqual, 1100*time.Millisecond+Wait)
+	})
+	Convey("Instances that only nodes know of are there too", t, func() {
+		d := newDesk(1, table.New())
+		d.open(3)
+		tell(d, "d1", Report{Answered: 100 * time.Millisecond})
+		at := d.Takeover("db", nil, d.wall, d.now)
+		So(len(at.Sights), ShouldEqual, 1)
+		So(at.Sights[0].Instance.Address, ShouldEqual, "a:1")
+	})
+	Convey("A phase is settled once every leased node has taken it up, and a reason written meanwhile does not unsettle it", t, func() {
+		d := newDesk(1, table.New())
+		d.open(3)
+		d.ask("d1", table.Stamp{}, false)
+		d.ask("d1", d.held.Stamp, false)
+		close := func(why string) {
+			d.write(Write{Build: func(*table.Table) []table.Put {
+				writer := view.Writer{Database: "db", Term: 3, Primary: "a", Phase: view.PhaseClosing, IsSynced: true, Since: 5, Why: why}
+				return []table.Put{{Key: view.KeyDB + "db", Data: table.Encode(writer)}}
+			}, Done: func() {}})
+		}
+		close("one")
+		So(d.takeover().IsSettled, ShouldBeFalse)
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp}, 1, d.now)
+		So(d.takeover().IsSettled, ShouldBeTrue)
+		close("two")
+		d.pass(100 * time.Millisecond)
+		at := d.takeover()
+		So(at.IsSettled, ShouldBeTrue)
+		So(at.SettledFor, ShouldEqual, 100*time.Millisecond)
+	})
+}
+
+func TestManifests(t *testing.T) {
+	put := func(d *desk, version uint64, raw string) bool {
+		return d.write(Write{Build: func(held *table.Table) []table.Put {
+			puts, _ := PutManifest(held, version, view.Set{Bindings: []view.Binding{{Name: "b", Database: "db"}}, Databases: []view.Database{{Name: "db", Connections: 80}}}, []byte(raw), "test", d.wall)
+			return puts
+		}, Done: func() {}}) > 0
+	}
+	Convey("The highest version is kept, with its bytes; one not above changes nothing", t, func() {
+		d := newDesk(1, table.New())
+		So(put(d, 7, "seven"), ShouldBeTrue)
+		So(put(d, 7, "other"), ShouldBeFalse)
+		So(put(d, 6, "six"), ShouldBeFalse)
+		So(put(d, 12, "twelve"), ShouldBeTrue)
+		set, raw, isHeld := Raw(d.held)
+		So(isHeld, ShouldBeTrue)
+		So(set.Version, ShouldEqual, 12)
+		So(set.Sequence, ShouldEqual, 2)
+		So(string(raw), ShouldEqual, "twelve")
+		So(d.Doc().Newest().Databases[0].Connections, ShouldEqual, 80)
+	})
+	Convey("Bytes go with their set, but never the newest", t, func() {
+		d := newDesk(1, table.New())
+		put(d, 1, "one")
+		put(d, 2, "two")
+		for range 8 {
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp, IsCut: true, Shows: d.Doc().Effective(d.wall).Sequence}, 1, d.now)
+			d.settle()
+			d.pass(time.Second)
+			d.Flush(true, d.wall, d.now)
+		}
+		So(len(d.Doc().Sets), ShouldEqual, 1)
+		So(d.held.Keys(view.KeyRaw), ShouldResemble, []string{RawKey(2)})
+		_, raw, _ := Raw(d.held)
+		So(string(raw), ShouldEqual, "two")
+	})
+	Convey("A set that is put beside manifests keeps the version held", t, func() {
+		d := newDesk(1, table.New())
+		put(d, 9, "nine")
+		d.put(1)
+		So(d.Doc().Newest().Version, ShouldEqual, 9)
+		So(put(d, 9, "again"), ShouldBeFalse)
+	})
+}
--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -431,7 +431,7 @@
 		if isMet && !sight.Instance.IsGone && !seen.IsGone && isDue {
 			found.effects = append(found.effects, ask(sight))
 		}
-		if isMet && seen.IsAfter && seen.IsAnswered && seen.Role == view.RoleReplica {
+		if isMet && !sight.Instance.IsGone && seen.IsAfter && seen.IsAnswered && seen.Role == view.RoleReplica {
 			found.answered = append(found.answered, sight)
 			found.positions[name] = seen.Position
 			continue
--- /dev/null
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -0,0 +1,436 @@
+package takeover
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/state/view"
+)
+
+const wall = int64(1000 * time.Hour)
+
+func at(term, index uint64) view.Position { return view.Position{Term: term, Index: index} }
+
+func sight(name, role string) Sight {
+	return Sight{
+		Instance: view.Instance{Name: name, Database: "db", Address: name + ":1", Role: role, IsSynced: true},
+		Heard:    200 * time.Millisecond, Answered: 50 * time.Millisecond, Tried: 4,
+	}
+}
+
+func told(role string, term, index uint64) Seen {
+	return Seen{IsAnswered: true, Role: role, Term: term, Position: at(term, index), IsAfter: true, Age: 50 * time.Millisecond, Event: 1, Tenure: "c1@1"}
+}
+
+func failed() Seen { return Seen{IsAfter: true, Age: 50 * time.Millisecond} }
+
+func open() Case {
+	return Case{
+		Database: "db", Self: "c1", IsKnown: true, IsSettled: true, SettledFor: time.Minute, Age: time.Minute, Wall: wall,
+		Event: 1, Covered: 1, Tenure: "c1@1", Bound: at(3, 95),
+		Writer: view.Writer{
+			Database: "db", Term: 3, Primary: "a", Phase: view.PhaseOpen, IsSynced: true, Since: wall - int64(time.Minute),
+			Required: map[string]string{"b": "", "c": ""}, High: at(3, 95), Holder: "c1", Fence: 4,
+		},
+		Sights: []Sight{sight("a", view.RolePrimary), sight("b", view.RoleReplica), sight("c", view.RoleReplica)},
+		Seen:   map[string]Seen{},
+	}
+}
+
+func closing(seen map[string]Seen) Case {
+	one := open()
+	one.Writer.Phase, one.Writer.Since, one.SettledFor, one.Seen = view.PhaseClosing, wall-int64(time.Second), 100*time.Millisecond, seen
+	return one
+}
+
+func intent(seen map[string]Seen, since time.Duration) Case {
+	one := closing(seen)
+	one.Writer.Phase, one.Writer.Intent, one.Writer.Calls, one.Writer.Floor = view.PhaseIntent, "b", 1, at(3, 99)
+	one.Writer.Since = wall - int64(since)
+	return one
+}
+
+func recorded(c Case) (view.Writer, bool) {
+	for _, effect := range Step(c, DefaultTiming()) {
+		if record, isOne := effect.(Record); isOne {
+			return record.Writer, true
+		}
+	}
+	return view.Writer{}, false
+}
+
+func effects[T any](c Case) []T {
+	var found []T
+	for _, effect := range Step(c, DefaultTiming()) {
+		if one, isOne := effect.(T); isOne {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+func intended(c Case) string {
+	writer, _ := recorded(c)
+	if writer.Phase != view.PhaseIntent {
+		return ""
+	}
+	return writer.Intent
+}
+
+func TestMeeting(t *testing.T) {
+	fresh := func() Case {
+		one := open()
+		one.IsKnown, one.Writer = false, view.Writer{}
+		return one
+	}
+	Convey("A database that is met has its one primary asked, and is opened in the term that this tells", t, func() {
+		one := fresh()
+		So(effects[Ask](one), ShouldResemble, []Ask{{Instance: "a", Address: "a:1"}})
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		one.Seen["a"] = told(view.RolePrimary, 3, 90)
+		writer, _ := recorded(one)
+		So(writer.Term, ShouldEqual, 3)
+		So(writer.Primary, ShouldEqual, "a")
+		So(writer.IsSynced, ShouldBeTrue)
+		So(writer.Phase, ShouldEqual, view.PhaseOpen)
+		So(writer.Required, ShouldResemble, map[string]string{"b": "", "c": ""})
+	})
+	Convey("Of two that say primary, both are asked and the higher term counts", t, func() {
+		one := fresh()
+		one.Sights[1].Instance.Role = view.RolePrimary
+		So(len(effects[Ask](one)), ShouldEqual, 2)
+		one.Seen["a"] = told(view.RolePrimary, 3, 90)
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		one.Seen["b"] = told(view.RolePrimary, 4, 90)
+		writer, _ := recorded(one)
+		So(writer.Primary, ShouldEqual, "b")
+		So(writer.Term, ShouldEqual, 4)
+	})
+}
+
+func TestSuspicion(t *testing.T) {
+	phaseOf := func(c Case) string {
+		writer, _ := recorded(c)
+		return writer.Phase
+	}
+	Convey("While all is well, nothing is done", t, func() { So(Step(open(), DefaultTiming()), ShouldBeEmpty) })
+	Convey("A primary that leaves or is gone has its term closed", t, func() {
+		for _, change := range []func(*view.Instance){func(i *view.Instance) { i.IsLeaving = true }, func(i *view.Instance) { i.IsGone = true }} {
+			one := open()
+			change(&one.Sights[0].Instance)
+			So(phaseOf(one), ShouldEqual, view.PhaseClosing)
+		}
+	})
+	Convey("Not while no other instance that stays can be heard", t, func() {
+		one := open()
+		one.Sights[0].Instance.IsLeaving = true
+		one.Sights[1].Instance.IsLeaving, one.Sights[2].Heard = true, 4*time.Second
+		writer, _ := recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseOpen)
+		So(writer.Why, ShouldContainSubstring, "no other instance")
+	})
+	Convey("One that refuses most nodes and answered none of them is; few refusals, a late answer, new reports or a new term are not enough", t, func() {
+		refusing := func() Case {
+			one := open()
+			one.Sights[0].Refused, one.Sights[0].Answered = 3, 400*time.Millisecond
+			return one
+		}
+		So(phaseOf(refusing()), ShouldEqual, view.PhaseClosing)
+		for _, change := range []func(*Case){
+			func(c *Case) { c.Sights[0].Refused = 2 },
+			func(c *Case) { c.Sights[0].Answered = 200 * time.Millisecond },
+			func(c *Case) { c.Age = 600 * time.Millisecond },
+			func(c *Case) { c.Writer.Since = wall - int64(500*time.Millisecond) },
+		} {
+			one := refusing()
+			change(&one)
+			So(phaseOf(one), ShouldEqual, "")
+		}
+	})
+	Convey("One that owes most nodes their answers is, unless any had one in the last second", t, func() {
+		one := open()
+		one.Sights[0].Overdue, one.Sights[0].Answered = 3, 1100*time.Millisecond
+		So(phaseOf(one), ShouldEqual, view.PhaseClosing)
+		one.Sights[0].Answered = 900 * time.Millisecond
+		So(phaseOf(one), ShouldEqual, "")
+		one.Sights[0].Answered, one.Sights[0].Overdue = 1100*time.Millisecond, 2
+		So(phaseOf(one), ShouldEqual, "")
+	})
+	Convey("One of which nothing is heard is asked, and suspected only once that fails", t, func() {
+		quiet := func() Case {
+			one := open()
+			one.Sights[0].Tried, one.Sights[0].Blank, one.Sights[0].Heard, one.Sights[0].Answered = 0, 3*time.Second, 3*time.Second, time.Hour
+			return one
+		}
+		So(effects[Ask](quiet()), ShouldResemble, []Ask{{Instance: "a", Address: "a:1"}})
+		So(phaseOf(quiet()), ShouldEqual, "")
+		one := quiet()
+		one.Seen["a"] = failed()
+		So(phaseOf(one), ShouldEqual, view.PhaseClosing)
+		one.Seen["a"] = Seen{IsBusy: true, Age: 50 * time.Millisecond}
+		So(phaseOf(one), ShouldEqual, "")
+		one.Seen["a"] = told(view.RolePrimary, 3, 99)
+		So(Step(one, DefaultTiming()), ShouldBeEmpty)
+		one = quiet()
+		one.Sights[0].Heard, one.Seen["a"] = 2*time.Second, failed()
+		So(phaseOf(one), ShouldEqual, "")
+	})
+	Convey("One that turned replica under another of a later term has its term closed; the other is asked first", t, func() {
+		one := open()
+		one.Sights[0].Instance.Role, one.Sights[1].Instance.Role = view.RoleReplica, view.RolePrimary
+		So(effects[Ask](one), ShouldContain, Ask{Instance: "b", Address: "b:1"})
+		So(phaseOf(one), ShouldEqual, "")
+		one.Seen["b"] = told(view.RolePrimary, 4, 99)
+		So(phaseOf(one), ShouldEqual, view.PhaseClosing)
+	})
+}
+
+func TestOpenTerm(t *testing.T) {
+	Convey("Another that still says primary of an earlier term is ordered down, at a pace, and one that was asked just now is believed over its announcement", t, func() {
+		one := open()
+		one.Sights[1].Instance.Role = view.RolePrimary
+		So(effects[Ask](one), ShouldResemble, []Ask{{Instance: "b", Address: "b:1"}})
+		seen := told(view.RolePrimary, 2, 80)
+		seen.Age = 600 * time.Millisecond
+		one.Seen["b"] = seen
+		So(effects[StepDown](one), ShouldResemble, []StepDown{{Instance: "b", Address: "b:1", Term: 3}})
+		seen.Age = 100 * time.Millisecond
+		one.Seen["b"] = seen
+		So(effects[StepDown](one), ShouldBeEmpty)
+		one.Seen["b"] = told(view.RoleReplica, 3, 80)
+		So(effects[StepDown](one), ShouldBeEmpty)
+		one.Seen, one.Sights[1].Heard = map[string]Seen{}, 4*time.Second
+		So(effects[StepDown](one), ShouldBeEmpty)
+	})
+	Convey("After an event the primary is asked, and its answer covers the event only where it was asked after it and in this tenure", t, func() {
+		one := open()
+		one.Event, one.Seen["a"] = 2, told(view.RolePrimary, 3, 99)
+		So(effects[Mark](one), ShouldBeEmpty)
+		old := one.Seen["a"]
+		old.Age = 2 * time.Second
+		one.Seen["a"] = old
+		So(effects[Ask](one), ShouldResemble, []Ask{{Instance: "a", Address: "a:1"}})
+		seen := told(view.RolePrimary, 3, 99)
+		seen.Event = 2
+		one.Seen["a"] = seen
+		So(effects[Mark](one), ShouldResemble, []Mark{{Database: "db", Tenure: "c1@1", Event: 2, Position: at(3, 99)}})
+		seen.Tenure = "c2@1"
+		one.Seen["a"] = seen
+		So(effects[Mark](one), ShouldBeEmpty)
+	})
+	Convey("Replicas that appear are recorded; one not heard of is forgotten only after a minute, and not while something is not covered", t, func() {
+		one := open()
+		one.Age = time.Hour
+		one.Sights = append(one.Sights, sight("d", view.RoleReplica))
+		writer, _ := recorded(one)
+		So(writer.Required, ShouldContainKey, "d")
+		one = open()
+		one.Age, one.Sights[2].Heard = time.Hour, 30*time.Second
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		one.Sights[2].Heard = 2 * time.Minute
+		writer, _ = recorded(one)
+		So(writer.Required, ShouldResemble, map[string]string{"b": ""})
+		one.Event = 2
+		_, isRecorded = recorded(one)
+		So(isRecorded, ShouldBeFalse)
+	})
+}
+
+func TestChoice(t *testing.T) {
+	all := func() map[string]Seen {
+		return map[string]Seen{"a": failed(), "b": told(view.RoleReplica, 3, 99), "c": told(view.RoleReplica, 3, 97)}
+	}
+	Convey("Nothing is asked or chosen before every node that may hold a lease has dropped the primary", t, func() {
+		one := closing(all())
+		one.IsSettled = false
+		So(Step(one, DefaultTiming()), ShouldBeEmpty)
+	})
+	Convey("All replicas and the old primary are asked at once; answers from before the settling count for nothing", t, func() {
+		So(len(effects[Ask](closing(map[string]Seen{}))), ShouldEqual, 3)
+		one := closing(all())
+		for name, seen := range one.Seen {
+			seen.IsAfter = false
+			one.Seen[name] = seen
+		}
+		So(len(effects[Ask](one)), ShouldEqual, 3)
+		So(intended(one), ShouldEqual, "")
+	})
+	Convey("All heard: the furthest, even where the reports are not whole, with a fence that rises only with the holder", t, func() {
+		one := closing(all())
+		one.Event = 9
+		So(intended(one), ShouldEqual, "b")
+		writer, _ := recorded(one)
+		So(writer.Floor, ShouldResemble, at(3, 99))
+		So(writer.Calls, ShouldEqual, 1)
+		So(effects[Promote](one), ShouldResemble, []Promote{{Database: "db", Instance: "b", Holder: "c1", Fence: 4}})
+		one.Self = "c2"
+		So(effects[Promote](one), ShouldResemble, []Promote{{Database: "db", Instance: "b", Holder: "c2", Fence: 5}})
+		one.Writer.Holder, one.Writer.Fence = "", 0
+		So(effects[Promote](one)[0].Fence, ShouldEqual, 1)
+	})
+	Convey("Terms count before numbers", t, func() {
+		one := closing(all())
+		one.Seen["c"] = told(view.RoleReplica, 3, 99)
+		seen := told(view.RoleReplica, 3, 0)
+		seen.Position = at(2, 500)
+		one.Seen["b"] = seen
+		So(intended(one), ShouldEqual, "c")
+	})
+	Convey("Some not heard: waited for, then one that is at or past all acknowledged is chosen where the reports are whole", t, func() {
+		some := func() Case {
+			one := closing(all())
+			one.Seen["c"] = failed()
+			return one
+		}
+		So(intended(some()), ShouldEqual, "")
+		one := some()
+		one.SettledFor = 2 * time.Second
+		So(intended(one), ShouldEqual, "b")
+		one.Event = 2
+		So(intended(one), ShouldEqual, "")
+		one.Covered, one.Bound = 2, at(3, 100)
+		So(intended(one), ShouldEqual, "")
+		one.Bound = at(3, 99)
+		So(intended(one), ShouldEqual, "b")
+		one.Writer.High = at(3, 100)
+		So(intended(one), ShouldEqual, "")
+		writer, _ := recorded(one)
+		So(writer.Why, ShouldContainSubstring, "nothing is promoted")
+	})
+	Convey("A replica that is on record and was not heard of by this control primary counts as not heard", t, func() {
+		one := closing(all())
+		one.Sights = one.Sights[:2]
+		one.Event = 2
+		So(intended(one), ShouldEqual, "")
+		one.Covered = 2
+		So(intended(one), ShouldEqual, "b")
+	})
+	Convey("A replica that has gone may have been the only one to receive a commit", t, func() {
+		one := closing(all())
+		one.Sights[2].Instance.IsGone, one.Event = true, 2
+		So(intended(one), ShouldEqual, "")
+	})
+	Convey("All heard but none at what was acknowledged: none", t, func() {
+		one := closing(all())
+		one.Writer.High, one.Bound = at(3, 120), at(3, 120)
+		So(intended(one), ShouldEqual, "")
+	})
+	Convey("One that stays goes before one that leaves, but not where it lacks what the other has", t, func() {
+		one := closing(all())
+		one.Sights[1].Instance.IsLeaving = true
+		So(intended(one), ShouldEqual, "c")
+		one.Bound = at(3, 98)
+		So(intended(one), ShouldEqual, "")
+		one.SettledFor = 2 * time.Second
+		So(intended(one), ShouldEqual, "b")
+	})
+	Convey("A primary that is back is opened again, unless it leaves or lost the role", t, func() {
+		one := closing(all())
+		one.Seen["a"] = told(view.RolePrimary, 3, 99)
+		writer, _ := recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseOpen)
+		So(writer.Primary, ShouldEqual, "a")
+		So(writer.Term, ShouldEqual, 3)
+		one.Sights[0].Instance.IsLeaving = true
+		So(intended(one), ShouldEqual, "b")
+		one.Sights[0].Instance.IsLeaving = false
+		one.Seen["a"] = told(view.RoleReplica, 3, 104)
+		So(intended(one), ShouldEqual, "a")
+	})
+	Convey("Another that already leads a later term is opened, with no call", t, func() {
+		one := closing(all())
+		one.Seen["c"] = told(view.RolePrimary, 5, 99)
+		writer, _ := recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseOpen)
+		So(writer.Primary, ShouldEqual, "c")
+		So(writer.Term, ShouldEqual, 5)
+		So(effects[Promote](one), ShouldBeEmpty)
+	})
+}
+
+func TestOutcome(t *testing.T) {
+	replica := func() map[string]Seen { return map[string]Seen{"b": told(view.RoleReplica, 3, 99)} }
+	down := func() map[string]Seen { return map[string]Seen{"b": failed()} }
+	Convey("The outcome is learned from the instance, which is asked often", t, func() {
+		one := intent(replica(), 300*time.Millisecond)
+		So(Step(one, DefaultTiming()), ShouldBeEmpty)
+		seen := one.Seen["b"]
+		seen.Age = 200 * time.Millisecond
+		one.Seen["b"] = seen
+		So(effects[Ask](one), ShouldResemble, []Ask{{Instance: "b", Address: "b:1"}})
+		one.Seen["b"] = told(view.RolePrimary, 3, 99)
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		one.Seen["b"] = told(view.RolePrimary, 4, 100)
+		writer, _ := recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseOpen)
+		So(writer.Term, ShouldEqual, 4)
+		So(writer.Primary, ShouldEqual, "b")
+		So(writer.Before, ShouldEqual, 3)
+		So(writer.Base, ShouldResemble, at(4, 100))
+		So(writer.High, ShouldResemble, at(3, 99))
+		So(writer.Floor, ShouldResemble, view.Position{})
+		So(writer.Fence, ShouldEqual, 4)
+		So(writer.Holder, ShouldEqual, "c1")
+	})
+	Convey("The call is made again for the same instance only, while it is a replica, and after a while", t, func() {
+		So(effects[Promote](intent(replica(), time.Second)), ShouldBeEmpty)
+		one := intent(replica(), 2*time.Second)
+		So(effects[Promote](one), ShouldResemble, []Promote{{Database: "db", Instance: "b", Holder: "c1", Fence: 4}})
+		writer, _ := recorded(one)
+		So(writer.Calls, ShouldEqual, 2)
+		one.Self = "c2"
+		So(effects[Promote](one)[0].Fence, ShouldEqual, 5)
+		one.Seen = map[string]Seen{}
+		So(effects[Promote](one), ShouldBeEmpty)
+	})
+	Convey("A call refused for its rate is made again soon", t, func() {
+		one := intent(replica(), 400*time.Millisecond)
+		one.Calls = []Call{{Instance: "b", Status: 429}}
+		So(len(effects[Promote](one)), ShouldEqual, 1)
+		one.Writer.Since = wall - int64(200*time.Millisecond)
+		So(effects[Promote](one), ShouldBeEmpty)
+	})
+	Convey("The intent is given up only when every call was refused and the instance is seen not to run, or it is gone", t, func() {
+		one := intent(down(), 400*time.Millisecond)
+		one.Calls = []Call{{Instance: "b", Status: 409}}
+		writer, _ := recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseClosing)
+		So(writer.Intent, ShouldEqual, "")
+		So(writer.Floor, ShouldResemble, view.Position{})
+		one.Writer.Calls = 2
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		for _, status := range []int{0, 500, 200} {
+			one.Calls = []Call{{Instance: "b", Status: 409}, {Instance: "b", Status: status}}
+			_, isRecorded = recorded(one)
+			So(isRecorded, ShouldBeFalse)
+		}
+		one = intent(replica(), 400*time.Millisecond)
+		one.Calls = []Call{{Instance: "b", Status: 409}}
+		_, isRecorded = recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		one = intent(map[string]Seen{"b": {IsGone: true, Age: 50 * time.Millisecond}}, 400*time.Millisecond)
+		writer, _ = recorded(one)
+		So(writer.Phase, ShouldEqual, view.PhaseClosing)
+	})
+	Convey("A second instance is never called while the outcome at the first is unknown, however long that lasts", t, func() {
+		for _, seen := range []map[string]Seen{down(), replica(), {}} {
+			for _, since := range []time.Duration{time.Second, 5 * time.Second, time.Hour} {
+				one := intent(seen, since)
+				one.Calls = []Call{{Instance: "b"}}
+				one.SettledFor = time.Hour
+				writer, isRecorded := recorded(one)
+				So(isRecorded && writer.Intent != "b", ShouldBeFalse)
+				for _, call := range effects[Promote](one) {
+					So(call.Instance, ShouldEqual, "b")
+				}
+			}
+		}
+	})
+}
