--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -106,21 +106,19 @@
 	if place.Losses == 0 {
 		return epoch.Founding{Disks: place.Disks, IsPaired: true}
 	}
-	return epoch.Founding{Voters: 2*place.Losses + 1, IsFounder: place.IsFounder, Seeds: place.Seeds, IsPaired: true}
+	return epoch.Founding{Voters: 2*place.Losses + 1, IsFounder: place.IsFounder, Seeds: place.SeedLinks(), IsPaired: true}
 }
 
 const quietWait = 500 * time.Millisecond
 
 func leases(place settings.Settings) lease.Timing {
 	timing := lease.DefaultTiming()
-	if place.Manner == mannerPlatform {
+	if place.Manner == settings.MannerPlatform {
 		timing.Wait = quietWait
 	}
 	return timing
 }
 
-const mannerPlatform = "platform"
-
 const (
 	beatPace  = 50 * time.Millisecond
 	peersPace = 300 * time.Millisecond
--- /dev/null
+++ b/pooler/cmd/control/orders.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"tansyseam.example/pooler/cmd/fleet"
+	"tansyseam.example/pooler/cmd/settings"
+	"tansyseam.example/pooler/protocol/door"
+	"tansyseam.example/pooler/state/stream"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/run"
+	"tansyseam.example/pooler/transport/web"
+	"tansyseam.example/pooler/transport/wire"
+)
+
+// ErrOrder says that an instance did not answer an order.
+const ErrOrder = errors.ConstError("order not answered")
+
+// Orders gives instances the fleet's own orders, each over a connection of
+// its own.
+type Orders struct {
+	engine *wire.Engine
+	codec  stream.Codec
+	who    string
+}
+
+// NewOrders makes them; Start must be called before the first.
+func NewOrders(crew *run.Crew, codec stream.Codec, who string) *Orders {
+	return &Orders{engine: wire.New(crew, "", stream.Longest, nil), codec: codec, who: who}
+}
+
+// Start lets orders be given.
+func (o *Orders) Start() error { return errors.Trace(o.engine.Start()) }
+
+type errand struct {
+	codec     stream.Codec
+	replies   chan Reply
+	isWelcome bool
+	reply     Reply
+	hasRow    bool
+}
+
+// Lines takes what the instance sent.
+func (e *errand) Lines(lines [][]byte) {
+	for _, line := range lines {
+		message := e.codec.Parse(string(line))
+		act, isKnown := errands[message.Kind]
+		if isKnown {
+			act(e, message)
+		}
+	}
+}
+
+// Ended tells that the connection is over.
+func (e *errand) Ended(error) { e.end(Reply{Err: ErrOrder}) }
+
+func (e *errand) end(reply Reply) { run.Offer(e.replies, reply) }
+
+var errands = map[stream.Kind]func(*errand, stream.Message){
+	stream.KindRow: func(e *errand, message stream.Message) {
+		told, isWhole := e.codec.Status(message.Tail)
+		e.hasRow = isWhole
+		e.reply = Reply{Role: told.Role, Term: told.Term, Position: told.Position}
+	},
+	stream.KindError: func(e *errand, message stream.Message) {
+		e.reply = Reply{IsBusy: message.Code == stream.CodeBusy || message.Code == stream.CodeFull, IsGone: message.Code == stream.CodeWrongHost}
+		if !e.reply.IsBusy && !e.reply.IsGone {
+			e.reply.Err = errors.Annotatef(ErrOrder, "%s", message.Tail)
+		}
+		e.hasRow = true
+		if !e.isWelcome {
+			e.end(e.reply)
+		}
+	},
+	stream.KindReady: func(e *errand, _ stream.Message) {
+		if !e.isWelcome {
+			e.isWelcome = true
+			return
+		}
+		if !e.hasRow {
+			e.reply = Reply{Err: ErrOrder}
+		}
+		e.end(e.reply)
+	},
+}
+
+// Give gives one order and waits for the answer, for a bound.
+func (o *Orders) Give(address, database, instance, order string, term uint64, bound time.Duration) Reply {
+	held := &errand{codec: o.codec, replies: make(chan Reply, 1)}
+	first := o.codec.Connect(nil, database, o.who, instance)
+	first = o.codec.Query(first, "", o.codec.Order(order, term), view.Position{})
+	up := make(chan *wire.Conn, 1)
+	o.engine.Open(address, first, bound, held, func(conn *wire.Conn) { up <- conn })
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	reply, isAnswered := run.Take(held.replies, timer.C)
+	if !isAnswered {
+		reply = Reply{Err: ErrOrder}
+	}
+	if conn, isUp := run.Poll(up); isUp {
+		conn.Write(o.codec.Bye(nil))
+		conn.Close()
+	}
+	return reply
+}
+
+// Promoter makes the platform's one call, in the words that write gives.
+func Promoter(node *fleet.Node, write func(door.Promotion) door.Request) func(settings.Settings, string, string, string, uint64) (int, error) {
+	return func(place settings.Settings, database, instance, holder string, fence uint64) (int, error) {
+		client, err := web.NewClient(hostOf(place.Link), node.Crew)
+		if err != nil {
+			return 0, errors.Trace(err)
+		}
+		defer client.Close()
+		session, err := client.Dial(place.Platform, time.Second, nil)
+		if err != nil {
+			return 0, errors.Trace(err)
+		}
+		answer := session.AskAs(write(door.Promotion{Database: database, Instance: instance, Holder: holder, Fence: fence}), 2*time.Second)
+		session.Close()
+		return answer.Status, errors.Trace(answer.Err)
+	}
+}
--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -7,7 +7,7 @@
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/takeover"
 	"tansyseam.example/pooler/protocol/msg"
-	"tansyseam.example/pooler/protocol/stream"
+	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
 )
 
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -291,6 +291,15 @@
 func (n *Node) Take(instance view.Instance) bool {
 	n.mutex.Lock()
 	before, isKnown := n.instances[instance.Name]
+	if instance.IsGone && instance.Database == "" {
+		if !isKnown {
+			n.mutex.Unlock()
+			return true
+		}
+		calls := before.Instance.Calls + 1
+		instance = before.Instance
+		instance.IsGone, instance.IsLeaving, instance.Calls = true, true, calls
+	}
 	if isKnown && instance.IsForeign(before.Instance) {
 		n.mutex.Unlock()
 		n.Counts.Add("announcements_foreign", 1)
--- a/pooler/cmd/seamc/main.go
+++ b/pooler/cmd/seamc/main.go
@@ -5,19 +5,42 @@
 	"os"
 	"time"
 
+	"tansyseam.example/platform"
 	"tansyseam.example/pooler/cmd/control"
 	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/cmd/start"
 )
 
+type manner struct {
+	seams *control.Seams
+	start func() error
+}
+
+var manners = map[string]func(*fleet.Node) manner{
+	"": func(*fleet.Node) manner { return manner{start: func() error { return nil }} },
+	settings.MannerPlatform: func(node *fleet.Node) manner {
+		node.Translate = platform.Translate
+		orders := control.NewOrders(node.Crew, platform.Codec(), node.Place().Name)
+		return manner{seams: &control.Seams{Order: orders.Give, Promote: control.Promoter(node, platform.Promote)}, start: orders.Start}
+	},
+}
+
 func main() {
 	os.Exit(start.Main("seamc", os.Args[1:], func(node *fleet.Node, place settings.Settings, die func(error)) (start.Program, error) {
-		made, err := control.Open(node, place, die, nil)
+		way := manners[place.Manner](node)
+		made, err := control.Open(node, place, die, way.seams)
 		if err != nil {
 			return start.Program{}, err
 		}
-		return start.Program{Start: func() error { made.Start(); return nil }, Drain: func() {
+		begin := func() error {
+			if err := way.start(); err != nil {
+				return err
+			}
+			made.Start()
+			return nil
+		}
+		return start.Program{Start: begin, Drain: func() {
 			node.Leave()
 			made.Leave(time.Second)
 		}}, nil
--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -48,7 +48,7 @@
 		node: node, log: node.Log, codec: codec, who: place.Name,
 		pool: pool.New(self, pool.DefaultTiming(), lease.DefaultTiming(), node.Counts.Add),
 	}
-	s.engine = wire.New(place.Sessions, stream.Longest, s.greet)
+	s.engine = wire.New(node.Crew, place.Sessions, stream.Longest, s.greet)
 	fleet.On(node, func(_ string, ask msg.PassNews, answer func(any)) { s.onPassNews(ask, answer) })
 	fleet.On(node, func(_ string, query msg.Query, answer func(any)) { answer(msg.QueryAnswer{Body: s.query(query.What)}) })
 	s.serveCalls()
@@ -232,7 +232,7 @@
 func (s *Sessions) open(open pool.Open) {
 	handler := &server{sessions: s, conn: open.Conn}
 	first := s.codec.Connect(nil, open.Database, s.who, open.Instance)
-	err := s.engine.Open(open.Address, first, 800*time.Millisecond, handler, func(conn *wire.Conn) {
+	s.engine.Open(open.Address, first, 800*time.Millisecond, handler, func(conn *wire.Conn) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		open.Conn.Link = conn
@@ -240,9 +240,6 @@
 			conn.Close()
 		}
 	})
-	if err != nil {
-		s.node.Crew.Go(func() { handler.Ended(err) })
-	}
 }
 
 var writers = map[pool.OutKind]func(stream.Codec, pool.Out) string{
--- a/pooler/cmd/settings/settings.go
+++ b/pooler/cmd/settings/settings.go
@@ -73,12 +73,6 @@
 
 	File    string
 	IsCheck bool
-
-	// Losses is how many disk machines may be lost at once; 0 for not given.
-	Losses    int
-	IsFounder bool
-	Manner    string
-	SeedPort  int
 }
 
 type field struct {
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -31,6 +31,9 @@
 	if m.timing.Wait == 0 {
 		return Wait
 	}
+	if m.doc.IsPending() {
+		return min(m.timing.Wait, m.timing.Short*2/5)
+	}
 	return m.timing.Wait
 }
 
--- a/pooler/transport/run/run.go
+++ b/pooler/transport/run/run.go
@@ -146,3 +146,24 @@
 		return none, false
 	}
 }
+
+// Poll receives a value if there is one at once.
+func Poll[T any](values <-chan T) (T, bool) {
+	select {
+	case value := <-values:
+		return value, true
+	default:
+		var none T
+		return none, false
+	}
+}
+
+// Offer sends a value if there is room at once.
+func Offer[T any](values chan<- T, value T) bool {
+	select {
+	case values <- value:
+		return true
+	default:
+		return false
+	}
+}
--- a/pooler/transport/web/web.go
+++ b/pooler/transport/web/web.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"tansyseam.example/pooler/protocol/door"
 	"tansyseam.example/pooler/transport/run"
 )
 
@@ -128,12 +129,19 @@
 // Do sends a request; done is told the answer from the engine and must not
 // block.
 func (s *Session) Do(path string, body []byte, done func(Answer)) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.address+path, bytes.NewReader(body))
+	s.send(door.Request{Method: http.MethodPost, Path: path, Body: body}, done)
+}
+
+func (s *Session) send(asked door.Request, done func(Answer)) {
+	request, err := http.NewRequest(asked.Method, "http://"+s.address+asked.Path, bytes.NewReader(asked.Body))
 	if err != nil {
 		done(Answer{Err: errors.WithType(err, ErrNotSent)})
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
+	for name, value := range asked.Header {
+		request.Header.Set(name, value)
+	}
 	s.conn.Do(request, func(response *http.Response, _ net.Conn, err error) {
 		if err != nil {
 			done(Answer{Err: errors.WithType(err, ErrBroken)})
@@ -153,8 +161,13 @@
 
 // Ask sends a request and waits, for a bound; on a miss the session ends.
 func (s *Session) Ask(path string, body []byte, bound time.Duration) Answer {
+	return s.AskAs(door.Request{Method: http.MethodPost, Path: path, Body: body}, bound)
+}
+
+// AskAs does the same with a request of another manner.
+func (s *Session) AskAs(asked door.Request, bound time.Duration) Answer {
 	answers := make(chan Answer, 1)
-	s.Do(path, body, func(answer Answer) {
+	s.send(asked, func(answer Answer) {
 		select {
 		case answers <- answer:
 		default:
--- a/pooler/transport/wire/wire.go
+++ b/pooler/transport/wire/wire.go
@@ -5,11 +5,14 @@
 
 import (
 	"bytes"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
+
+	"tansyseam.example/pooler/transport/run"
 )
 
 // Errors of the wire layer.
@@ -46,6 +49,7 @@
 // Engine serves all connections of a process.
 type Engine struct {
 	engine  *nbio.Engine
+	crew    *run.Crew
 	longest int
 	greet   func(*Conn) Handler
 	mutex   sync.Mutex
@@ -66,13 +70,16 @@
 
 // New makes an engine; address may be empty, for one that only opens. Greet
 // gives the handler of each accepted connection.
-func New(address string, longest int, greet func(*Conn) Handler) *Engine {
+func New(crew *run.Crew, address string, longest int, greet func(*Conn) Handler) *Engine {
 	config := nbio.Config{Network: "tcp", NPoller: 1, ReadBufferSize: 16 << 10, MaxWriteBufferSize: 4 << 20}
 	if address != "" {
 		config.Addrs = []string{address}
 	}
-	e := &Engine{engine: nbio.NewEngine(config), longest: longest, greet: greet}
+	e := &Engine{engine: nbio.NewEngine(config), crew: crew, longest: longest, greet: greet}
 	e.engine.OnOpen(func(raw *nbio.Conn) {
+		if e.get(raw) != nil {
+			return
+		}
 		conn := &Conn{raw: raw, longest: longest}
 		conn.handler = e.greet(conn)
 		e.put(raw, conn)
@@ -102,25 +109,36 @@
 func (e *Engine) Stop() { e.engine.Stop() }
 
 // Open opens a connection and writes first as soon as it is up. The handler
-// hears of lines and of the end; up hears of the connection first. An error
-// says that nothing was begun.
-func (e *Engine) Open(address string, first []byte, bound time.Duration, handler Handler, up func(*Conn)) error {
-	err := e.engine.DialAsyncTimeout("tcp", address, bound, func(raw *nbio.Conn, err error) {
-		if err != nil || raw == nil {
+// hears of lines and of the end, also where the connection never came up; up
+// hears of the connection before all else. It does not block.
+func (e *Engine) Open(address string, first []byte, bound time.Duration, handler Handler, up func(*Conn)) {
+	e.crew.Go(func() {
+		dialer := net.Dialer{Timeout: bound, KeepAliveConfig: keepAlive}
+		dialled, err := dialer.Dial("tcp", address)
+		if err != nil {
+			handler.Ended(err)
+			return
+		}
+		raw, err := nbio.NBConn(dialled)
+		if err != nil {
+			_ = dialled.Close()
 			handler.Ended(err)
 			return
 		}
 		conn := &Conn{raw: raw, handler: handler, longest: e.longest}
 		e.put(raw, conn)
-		_ = raw.SetNoDelay(true)
 		up(conn)
+		if _, err := e.engine.AddConn(raw); err != nil {
+			return
+		}
 		if len(first) > 0 {
 			conn.Write(first)
 		}
 	})
-	return errors.Trace(err)
 }
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 func (c *Conn) onData(data []byte) {
 	if len(c.rest) > 0 {
 		data = append(c.rest, data...)
