Hold founding and paired writes to tests on a small cluster

Cause: neither had tests. Change: voters behind seeds, too few behind them, machines that may not found, followers; a loss of primary or backup with writes under way.

--- /dev/null
+++ b/pooler/coordination/epoch/founding_test.go
@@ -0,0 +1,225 @@
+package epoch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/state/table"
+)
+
+type cluster struct {
+	now      time.Duration
+	machines map[string]*Machine
+	up       map[string]bool
+	answers  map[uint64]Answer
+	turns    int
+}
+
+func address(name string) string { return name + ":1" }
+
+func newCluster(names []string, founding func(name string) Founding) *cluster {
+	c := &cluster{now: time.Hour, machines: map[string]*Machine{}, up: map[string]bool{}, answers: map[uint64]Answer{}}
+	for _, name := range names {
+		c.machines[name] = NewFounding(name, founding(name), DefaultTiming(), Saved{}, c.now)
+		c.up[name] = true
+	}
+	return c
+}
+
+func (c *cluster) carry(name string, effects []Effect) {
+	for _, effect := range effects {
+		if answer, isOne := effect.(Answer); isOne {
+			c.answers[answer.Token] = answer
+		}
+		if _, isOne := effect.(Turned); isOne {
+			c.turns++
+		}
+		if send, isOne := effect.(Send); isOne && c.up[send.To] && c.up[name] {
+			c.step(send.To, Heard{From: name, Body: send.Body})
+		}
+	}
+}
+
+func (c *cluster) step(name string, event any) { c.carry(name, c.machines[name].Step(event, c.now)) }
+
+func (c *cluster) live() []string {
+	var names []string
+	for name, isUp := range c.up {
+		if isUp {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *cluster) run(span time.Duration) {
+	for until := c.now + span; c.now < until; c.now += 20 * time.Millisecond {
+		peers := Peers{Links: map[string]string{}}
+		for _, name := range c.live() {
+			peers.Names = append(peers.Names, name)
+			peers.Links[address(name)] = name
+		}
+		for _, name := range c.live() {
+			c.step(name, peers)
+			c.step(name, Tick{Wall: int64(c.now)})
+		}
+	}
+}
+
+func (c *cluster) primary() string {
+	for _, name := range c.live() {
+		if c.machines[name].IsPrimary(c.now) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) submit(token uint64) {
+	if primary := c.primary(); primary != "" {
+		c.step(primary, Submit{Token: token, Build: func(*table.Table) []table.Put {
+			return []table.Put{{Key: fmt.Sprint(token), Data: []byte("x")}}
+		}})
+	}
+}
+
+func (c *cluster) disks(token uint64) int {
+	count := 0
+	for _, machine := range c.machines {
+		if _, isHeld := machine.Copy().Records[fmt.Sprint(token)]; isHeld {
+			count++
+		}
+	}
+	return count
+}
+
+func TestFounding(t *testing.T) {
+	names := []string{"c1", "c2", "c3", "c4", "c5"}
+	seeds := []string{address("c5"), address("c2"), address("c4")}
+	founder := func(string) Founding { return Founding{Voters: 3, IsFounder: true, Seeds: seeds} }
+	Convey("The voters are those behind the seeds; the others follow, know the primary and have no vote", t, func() {
+		c := newCluster(names, founder)
+		c.run(5 * time.Second)
+		So(c.machines["c2"].Voters(), ShouldResemble, []string{"c2", "c4", "c5"})
+		So(c.primary(), ShouldEqual, "c2")
+		for _, name := range []string{"c1", "c3"} {
+			So(c.machines[name].Voters(), ShouldBeEmpty)
+			So(c.machines[name].IsOutside(), ShouldBeTrue)
+			So(c.machines[name].Record(), ShouldResemble, c.machines["c2"].Record())
+		}
+		c.up["c2"] = false
+		c.run(5 * time.Second)
+		So(c.primary(), ShouldNotBeEmpty)
+		So(c.machines["c1"].Record(), ShouldResemble, c.machines[c.primary()].Record())
+	})
+	Convey("Where too few are met behind the seeds, the first by name vote, once they have been met for a while", t, func() {
+		c := newCluster(names, func(string) Founding {
+			return Founding{Voters: 3, IsFounder: true, Seeds: []string{address("c5"), "x:1", "y:1"}}
+		})
+		c.run(2 * time.Second)
+		So(c.machines["c1"].Voters(), ShouldBeEmpty)
+		c.run(3 * time.Second)
+		So(c.machines["c1"].Voters(), ShouldResemble, []string{"c1", "c2", "c3"})
+	})
+	Convey("Machines that are no founders found nothing, and agree to nothing", t, func() {
+		c := newCluster(names, func(string) Founding { return Founding{Voters: 3, Seeds: seeds} })
+		c.run(20 * time.Second)
+		for _, machine := range c.machines {
+			So(machine.Voters(), ShouldBeEmpty)
+			So(machine.Cluster(), ShouldBeEmpty)
+		}
+		blank := NewFounding("c9", Founding{Voters: 3, Seeds: seeds}, DefaultTiming(), Saved{}, c.now)
+		effects := blank.Step(Heard{From: "c1", Body: Form{Identity: Identity{Cluster: "x", Voters: []string{"c1", "c2", "c9"}}}}, c.now)
+		So(effects, ShouldBeEmpty)
+		So(blank.Cluster(), ShouldBeEmpty)
+	})
+	Convey("A founder told of a fleet without it founds no second one", t, func() {
+		c := newCluster(names, founder)
+		c.run(5 * time.Second)
+		for _, name := range []string{"c2", "c4", "c5"} {
+			c.up[name] = false
+		}
+		c.machines["c6"] = NewFounding("c6", founder("c6"), DefaultTiming(), Saved{}, c.now)
+		c.up["c6"] = true
+		c.machines["c6"].Step(Heard{From: "c2", Body: Standing{Identity: *c.machines["c2"].identity, Decided: c.machines["c2"].Record()}}, c.now)
+		c.run(20 * time.Second)
+		for _, name := range []string{"c1", "c3", "c6"} {
+			So(c.machines[name].Voters(), ShouldBeEmpty)
+		}
+	})
+	Convey("An exact count of disk machines forms as before, and no other count does", t, func() {
+		c := newCluster(names[:3], func(string) Founding { return Founding{Disks: 3} })
+		c.run(3 * time.Second)
+		So(c.primary(), ShouldEqual, "c1")
+		c = newCluster(names[:4], func(string) Founding { return Founding{Disks: 3} })
+		c.run(3 * time.Second)
+		So(c.primary(), ShouldBeEmpty)
+	})
+}
+
+func TestPairedWrites(t *testing.T) {
+	names := []string{"c1", "c2", "c3"}
+	started := func(isPaired bool) *cluster {
+		c := newCluster(names, func(string) Founding { return Founding{Disks: 3, IsPaired: isPaired} })
+		c.run(3 * time.Second)
+		So(c.primary(), ShouldNotBeEmpty)
+		return c
+	}
+	loses := []func(c *cluster){
+		func(c *cluster) { c.up[c.machines[c.primary()].Record().Backup] = false },
+		func(c *cluster) { c.up[c.primary()] = false },
+	}
+	Convey("With one of three lost, primary or backup, the others pair up within seconds, and what is acknowledged is on two disks", t, func() {
+		for _, lose := range loses {
+			c := started(true)
+			lose(c)
+			token := uint64(100)
+			for at := time.Duration(0); at < 6*time.Second; at += 100 * time.Millisecond {
+				token++
+				c.submit(token)
+				c.run(100 * time.Millisecond)
+				for number, answer := range c.answers {
+					if answer.IsKept {
+						So(c.disks(number), ShouldBeGreaterThanOrEqualTo, 2)
+					}
+				}
+			}
+			So(c.answers[token-5].IsKept, ShouldBeTrue)
+			So(c.machines[c.primary()].Record().Backup, ShouldNotBeEmpty)
+		}
+	})
+	Convey("A write under way when the backup is lost is not acknowledged before another has it; without pairing it is", t, func() {
+		for _, isPaired := range []bool{true, false} {
+			c := started(isPaired)
+			first := c.primary()
+			backup := c.machines[first].Record().Backup
+			c.up[backup] = false
+			c.submit(7)
+			isAlone := false
+			for range 200 {
+				c.run(20 * time.Millisecond)
+				if answer, isGiven := c.answers[7]; isGiven && answer.IsKept {
+					isAlone = c.machines[first].Record().Backup == ""
+					break
+				}
+			}
+			So(c.answers[7].IsKept, ShouldBeTrue)
+			So(isAlone, ShouldNotEqual, isPaired)
+		}
+	})
+	Convey("The others have paired within 2 s of the loss", t, func() {
+		for _, lose := range loses {
+			c := started(true)
+			lose(c)
+			c.submit(9)
+			c.run(2 * time.Second)
+			So(c.primary(), ShouldNotBeEmpty)
+			So(c.machines[c.primary()].Record().Backup, ShouldNotBeEmpty)
+		}
+	})
+}
