Hold manifests, announcements and a whole takeover at the control plane to tests

Cause: the program's side had no tests. Change: one control machine stepped by hand, with seams for instances and platform; the shapes of the new calls.

--- /dev/null
+++ b/pooler/cmd/control/control_test.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/valyala/fastjson"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/cmd/fleet"
+	"tansyseam.example/pooler/cmd/settings"
+	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/protocol/stream"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/run"
+)
+
+type ordered struct {
+	instance, order string
+	term            uint64
+}
+
+type called struct {
+	instance, holder string
+	fence            uint64
+}
+
+type bench struct {
+	*Control
+	replies  map[string]Reply
+	status   int
+	err      error
+	orders   chan ordered
+	promotes chan called
+}
+
+// One control machine alone is its own majority: it is stepped here by hand,
+// with no loop and no link.
+func newBench(t *testing.T, folder string) *bench {
+	place := settings.Settings{Name: "c1", Zone: "z", Link: "127.0.0.1:1", Door: "127.0.0.1:2", AdvertiseDoor: "127.0.0.1:2", Disks: 1, Data: folder, Manner: "platform"}
+	node, err := fleet.New("seamc", place, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{replies: map[string]Reply{}, status: http.StatusOK, orders: make(chan ordered, 1000), promotes: make(chan called, 100)}
+	seams := &Seams{
+		Order: func(_, _, instance, order string, term uint64, _ time.Duration) Reply {
+			b.orders <- ordered{instance, order, term}
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			return b.replies[instance]
+		},
+		Promote: func(_ settings.Settings, _, instance, holder string, fence uint64) (int, error) {
+			b.promotes <- called{instance, holder, fence}
+			return b.status, b.err
+		},
+	}
+	if b.Control, err = Open(node, place, func(err error) { t.Error(err) }, seams); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func (b *bench) work() {
+	for range 3 {
+		b.beat()
+		for len(b.queue) > 0 {
+			(<-b.queue)()
+		}
+	}
+}
+
+func (b *bench) settle() {
+	b.work()
+	b.node.Crew.Stop(5 * time.Second)
+}
+
+func (b *bench) operate(path, body string) (int, *fastjson.Value) {
+	var operated msg.Operated
+	b.work()
+	b.onOperate(msg.Operate{Path: path, Body: []byte(body)}, func(answer any) { operated = answer.(msg.Operated) })
+	b.work()
+	return operated.Status, fastjson.MustParseBytes(operated.Body)
+}
+
+func announced(name, role string, calls uint64) view.Instance {
+	return view.Instance{Name: name, Database: "db", Address: "10.0.0.1:80", Zone: "z", Role: role, IsSynced: true, Calls: calls, Slots: 5}
+}
+
+func manifestOf(version int, timeout int) string {
+	raw := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("as sent %d", version)))
+	return fmt.Sprintf(`{"version":%d,"bindings":[{"name":"b","database":"db","timeout_ms":%d}],"databases":[{"name":"db","connections":80,"synced":1}],"raw":%q}`, version, timeout, raw)
+}
+
+func TestManifestCalls(t *testing.T) {
+	Convey("A manifest is taken by version, refused when broken, and given back as it was sent, also after a restart", t, func() {
+		folder := t.TempDir()
+		b := newBench(t, folder)
+		status, _ := b.operate("/v1/manifest/fetch", "")
+		So(status, ShouldEqual, http.StatusNotFound)
+		status, answer := b.operate("/v1/manifest/replace", manifestOf(7, 1000))
+		So(status, ShouldEqual, http.StatusOK)
+		So(answer.GetInt("version"), ShouldEqual, 7)
+		status, _ = b.operate("/v1/manifest/replace", manifestOf(6, 1000))
+		So(status, ShouldEqual, http.StatusOK)
+		status, answer = b.operate("/v1/manifest/replace", manifestOf(8, 0))
+		So(status, ShouldEqual, http.StatusBadRequest)
+		So(string(answer.GetStringBytes("faults", "0", "path")), ShouldEqual, "/bindings/0/timeout_ms")
+		status, _ = b.operate("/v1/manifest/replace", `{"version":`)
+		So(status, ShouldEqual, http.StatusBadRequest)
+		for _, one := range []*bench{b, newBench(t, folder)} {
+			status, answer = one.operate("/v1/manifest/fetch", "")
+			So(status, ShouldEqual, http.StatusOK)
+			So(answer.GetInt("version"), ShouldEqual, 7)
+			raw, _ := base64.StdEncoding.DecodeString(string(answer.GetStringBytes("raw")))
+			So(string(raw), ShouldEqual, "as sent 7")
+		}
+	})
+}
+
+func TestAnnouncementsAtControl(t *testing.T) {
+	Convey("The control primary takes a synced instance's announcement; a late one changes nothing; a machine that reaches no primary refuses", t, func() {
+		b := newBench(t, t.TempDir())
+		status, _ := b.node.Announce(announced("i-1", view.RoleReplica, 4))
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(b.node.Instances(time.Minute), ShouldBeEmpty)
+		b.work()
+		status, answer := b.node.Announce(announced("i-1", view.RoleReplica, 4))
+		So(status, ShouldEqual, http.StatusOK)
+		So(answer.(map[string]any)["door"], ShouldEqual, "127.0.0.1:2")
+		late := announced("i-1", view.RolePrimary, 4)
+		status, _ = b.node.Announce(late)
+		So(status, ShouldEqual, http.StatusOK)
+		So(b.node.Instances(time.Minute)[0].Instance.Role, ShouldEqual, view.RoleReplica)
+		late.Calls = 5
+		b.node.Announce(late)
+		So(b.node.Instances(time.Minute)[0].Instance.Role, ShouldEqual, view.RolePrimary)
+	})
+}
+
+func TestEvidence(t *testing.T) {
+	at := func(phase string, since int64) takeover.Case {
+		return takeover.Case{Database: "db", IsKnown: true, IsSettled: true, Event: 3, Tenure: "c1@1", Writer: view.Writer{Database: "db", Term: 3, Primary: "a", Phase: phase, Since: since, IsSynced: true}}
+	}
+	shown := func(b *bench, one takeover.Case) takeover.Case {
+		b.show(&one)
+		return one
+	}
+	Convey("What an instance answered counts as seen after the settling only in the episode in which it was asked, and settled", t, func() {
+		b := newBench(t, t.TempDir())
+		b.replies["b"] = Reply{Role: view.RoleReplica, Term: 3, Position: view.Position{Term: 3, Index: 9}}
+		one := shown(b, at(view.PhaseClosing, 5))
+		b.order(one, "b", "x:1", stream.OrderStatus, 0)
+		unsettled := one
+		unsettled.IsSettled = false
+		b.order(unsettled, "c", "x:1", stream.OrderStatus, 0)
+		b.settle()
+		one = shown(b, at(view.PhaseClosing, 5))
+		So(one.Seen["b"].IsAfter, ShouldBeTrue)
+		So(one.Seen["b"].IsAnswered, ShouldBeTrue)
+		So(one.Seen["b"].Position, ShouldResemble, view.Position{Term: 3, Index: 9})
+		So(one.Seen["b"].Event, ShouldEqual, 3)
+		So(one.Seen["c"].IsAfter, ShouldBeFalse)
+		So(shown(b, at(view.PhaseClosing, 6)).Seen["b"].IsAfter, ShouldBeFalse)
+		So(shown(b, at(view.PhaseClosing, 5)).Seen["b"].IsAfter, ShouldBeFalse)
+	})
+	Convey("An answer that comes once the episode is over is not of the next; none comes twice at once", t, func() {
+		b := newBench(t, t.TempDir())
+		hold := make(chan struct{})
+		order := b.seams.Order
+		b.seams.Order = func(address, database, instance, what string, term uint64, bound time.Duration) Reply {
+			<-hold
+			return order(address, database, instance, what, term, bound)
+		}
+		b.replies["b"] = Reply{Role: view.RoleReplica, Term: 3}
+		one := shown(b, at(view.PhaseClosing, 5))
+		b.order(one, "b", "x:1", stream.OrderStatus, 0)
+		b.order(one, "b", "x:1", stream.OrderStatus, 0)
+		So(shown(b, at(view.PhaseClosing, 6)).Seen, ShouldBeEmpty)
+		close(hold)
+		b.settle()
+		So(len(b.orders), ShouldEqual, 1)
+		So(shown(b, at(view.PhaseClosing, 6)).Seen["b"].IsAfter, ShouldBeFalse)
+	})
+	Convey("Silence, a busy answer and a name that is not there are told apart", t, func() {
+		b := newBench(t, t.TempDir())
+		b.replies = map[string]Reply{"s": {Err: errors.New("refused")}, "b": {IsBusy: true}, "g": {IsGone: true}}
+		one := shown(b, at(view.PhaseOpen, 5))
+		for name := range b.replies {
+			b.order(one, name, "x:1", stream.OrderStatus, 0)
+		}
+		b.settle()
+		seen := shown(b, at(view.PhaseOpen, 5)).Seen
+		So(seen["s"].IsAnswered || seen["s"].IsBusy || seen["s"].IsGone, ShouldBeFalse)
+		So(seen["b"].IsBusy, ShouldBeTrue)
+		So(seen["g"].IsGone, ShouldBeTrue)
+	})
+	Convey("The outcome of a promote call is kept for its intent only, and one that was not read stays unknown", t, func() {
+		b := newBench(t, t.TempDir())
+		intent := at(view.PhaseIntent, 5)
+		intent.Writer.Intent = "b"
+		shown(b, intent)
+		b.status, b.err = http.StatusConflict, errors.New("cut")
+		b.promoteSynced(takeover.Promote{Database: "db", Instance: "b", Holder: "c1", Fence: 2})
+		So(run.Await(b.promotes, time.Second), ShouldBeTrue)
+		b.settle()
+		So(shown(b, intent).Calls[0].Status, ShouldEqual, 0)
+		So(shown(b, at(view.PhaseClosing, 9)).Calls, ShouldBeEmpty)
+	})
+}
+
+func TestTakeoverFromEndToEnd(t *testing.T) {
+	Convey("From the first announcement to a new term: met, left, closed, asked, intended, promoted, open", t, func() {
+		b := newBench(t, t.TempDir())
+		b.work()
+		b.replies["a"] = Reply{Role: view.RolePrimary, Term: 3, Position: view.Position{Term: 3, Index: 50}}
+		b.replies["b"] = Reply{Role: view.RoleReplica, Term: 3, Position: view.Position{Term: 3, Index: 50}}
+		b.replies["c"] = Reply{Role: view.RoleReplica, Term: 3, Position: view.Position{Term: 3, Index: 48}}
+		for name, role := range map[string]string{"a": view.RolePrimary, "b": view.RoleReplica, "c": view.RoleReplica} {
+			status, _ := b.node.Announce(announced(name, role, 1))
+			So(status, ShouldEqual, http.StatusOK)
+		}
+		writer := func() view.Writer {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			return b.steer.Doc().Writers["db"]
+		}
+		steps := func(isThere func() bool) bool {
+			for until := b.node.Now() + 5*time.Second; b.node.Now() < until; {
+				done := make(chan struct{})
+				b.node.Crew.Go(func() { b.attendTakeover("db"); close(done) })
+				for !run.Await(done, 5*time.Millisecond) {
+					b.work()
+				}
+				b.work()
+				if isThere() {
+					return true
+				}
+			}
+			return false
+		}
+		So(steps(func() bool { return writer().Phase == view.PhaseOpen && writer().Primary == "a" }), ShouldBeTrue)
+		So(writer().Term, ShouldEqual, 3)
+		leaving := announced("a", view.RolePrimary, 2)
+		leaving.IsLeaving = true
+		b.node.Announce(leaving)
+		So(steps(func() bool { return writer().Phase == view.PhaseIntent }), ShouldBeTrue)
+		So(writer().Intent, ShouldEqual, "b")
+		So(writer().Holder, ShouldEqual, "c1")
+		So(writer().Fence, ShouldEqual, 1)
+		So(writer().Floor, ShouldResemble, view.Position{Term: 3, Index: 50})
+		So(steps(func() bool { return len(b.promotes) == 1 }), ShouldBeTrue)
+		So(<-b.promotes, ShouldResemble, called{"b", "c1", 1})
+		b.mutex.Lock()
+		b.replies["b"] = Reply{Role: view.RolePrimary, Term: 4, Position: view.Position{Term: 4, Index: 51}}
+		b.mutex.Unlock()
+		So(steps(func() bool { return writer().Phase == view.PhaseOpen }), ShouldBeTrue)
+		So(writer().Primary, ShouldEqual, "b")
+		So(writer().Term, ShouldEqual, 4)
+		So(writer().Before, ShouldEqual, 3)
+	})
+}
--- /dev/null
+++ b/pooler/protocol/manifest/versioned_test.go
@@ -0,0 +1,63 @@
+package manifest
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/protocol/schema"
+	"tansyseam.example/pooler/state/view"
+)
+
+func TestVersionedManifests(t *testing.T) {
+	book, err := schema.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const good = `{"version":7,"bindings":[{"name":"b","database":"db","freshness_ms":1500,"own":true,"timeout_ms":1000,"target_ms":200,"priority":1,"tries":2}],` +
+		`"databases":[{"name":"db","connections":80,"synced":1}],"limits":{"message_bytes":262144,"idle_ms":15000,"inside_ms":3000},"raw":"aGk="}`
+	Convey("A manifest is read whole, and written as it was read", t, func() {
+		value, faults := book.Request("/v1/manifest/replace", []byte(good))
+		So(faults, ShouldBeEmpty)
+		set, raw, faults := Versioned(value)
+		So(faults, ShouldBeEmpty)
+		So(string(raw), ShouldEqual, "hi")
+		So(set, ShouldResemble, view.Set{
+			Version: 7, Bindings: []view.Binding{{
+				Name: "b", Database: "db", Freshness: 1500 * time.Millisecond, IsOwn: true, Timeout: time.Second,
+				Target: 200 * time.Millisecond, Priority: 1, Tries: 2,
+			}},
+			Databases: []view.Database{{Name: "db", Connections: 80, Synced: 1}},
+			Limits:    view.Limits{Message: 262144, Idle: 15 * time.Second, Inside: 3 * time.Second},
+		})
+		data, _ := json.Marshal(Write(set))
+		So(book.Answer("/v1/manifest/fetch", data, false), ShouldBeEmpty)
+		again, _, faults := Versioned(fastjson.MustParseBytes(data))
+		So(faults, ShouldBeEmpty)
+		So(again, ShouldResemble, set)
+	})
+	Convey("Every reason against one is given at once", t, func() {
+		value, faults := book.Request("/v1/manifest/replace", []byte(`{"version":0,"bindings":[{"name":"b","database":"db","timeout_ms":0},{"name":"b","database":"nowhere","timeout_ms":5}],`+
+			`"databases":[{"name":"db","connections":1},{"name":"db","connections":1}],"raw":"!"}`))
+		So(faults, ShouldBeEmpty)
+		_, _, faults = Versioned(value)
+		var paths []string
+		for _, fault := range faults {
+			paths = append(paths, fault.Path)
+		}
+		So(paths, ShouldResemble, []string{"/version", "/databases/1/name", "/bindings/0/timeout_ms", "/bindings/1/name", "/bindings/1/database", "/raw"})
+	})
+	Convey("A manifest of the wrong shape is refused before it is read", t, func() {
+		for _, body := range []string{
+			`{}`, `[]`, `{"version":1,"bindings":[]}`, `{"version":-1,"bindings":[],"databases":[]}`, `{"version":1,"bindings":[{"name":"b"}],"databases":[]}`,
+			`{"version":1,"bindings":[],"databases":[],"more":1}`, `{"version":1,"version":2,"bindings":[],"databases":[]}`,
+		} {
+			_, faults := book.Request("/v1/manifest/replace", []byte(body))
+			SoMsg(body, faults, ShouldNotBeEmpty)
+		}
+	})
+}
