Pair writes in the simulator too; tests that each planted fault fails

Cause: of the faults planted in the new rules some went unseen: an answer from before the settling, a node without a lease as evidence, a quiet primary's other signs, the bytes of a manifest under a plain set, a write to a lone primary. Ruled out as no fault: a busy answer counts as heard already. Change: a test for each. The simulator's fleets hold writes until they are paired.

--- a/pooler/coordination/epoch/founding_test.go
+++ b/pooler/coordination/epoch/founding_test.go
@@ -212,6 +212,30 @@
 			So(isAlone, ShouldNotEqual, isPaired)
 		}
 	})
+	Convey("A write that comes while the primary is alone waits; without pairing it does not", t, func() {
+		for _, isPaired := range []bool{true, false} {
+			c := started(isPaired)
+			first := c.primary()
+			for _, name := range c.live() {
+				c.machines[first].shunned[name] = c.now + time.Hour
+			}
+			c.up[c.machines[first].Record().Backup] = false
+			for range 500 {
+				c.run(20 * time.Millisecond)
+				if c.machines[first].Record().Backup == "" {
+					break
+				}
+			}
+			So(c.machines[first].Record().Backup, ShouldBeEmpty)
+			So(c.primary(), ShouldEqual, first)
+			c.submit(8)
+			So(c.answers[8].IsKept, ShouldNotEqual, isPaired)
+			clear(c.machines[first].shunned)
+			c.run(time.Second)
+			So(c.answers[8].IsKept, ShouldBeTrue)
+			So(c.disks(8), ShouldBeGreaterThanOrEqualTo, 2)
+		}
+	})
 	Convey("The others have paired within 2 s of the loss", t, func() {
 		for _, lose := range loses {
 			c := started(true)
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -161,6 +161,12 @@
 		So(d.takeover().Sights[0].Tried, ShouldEqual, 0)
 		So(d.takeover().Sights[0].Blank, ShouldEqual, 1100*time.Millisecond+Wait)
 	})
+	Convey("What a node without a lease saw is no evidence", t, func() {
+		d := newDesk(1, table.New())
+		d.open(3)
+		d.Gather(Told{Node: "d9", Reports: []Report{{Instance: instance("a", view.RolePrimary), Refused: 5, Answered: time.Hour}}}, d.now)
+		So(d.takeover().Sights[0].Tried, ShouldEqual, 0)
+	})
 	Convey("Instances that only nodes know of are there too", t, func() {
 		d := newDesk(1, table.New())
 		d.open(3)
@@ -232,6 +238,16 @@
 		put(d, 9, "nine")
 		d.put(1)
 		So(d.Doc().Newest().Version, ShouldEqual, 9)
+		for range 8 {
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp, IsCut: true, Shows: d.Doc().Effective(d.wall).Sequence}, 1, d.now)
+			d.settle()
+			d.pass(time.Second)
+			d.Flush(true, d.wall, d.now)
+		}
+		So(len(d.Doc().Sets), ShouldEqual, 1)
+		set, raw, _ := Raw(d.held)
+		So(set.Version, ShouldEqual, 9)
+		So(string(raw), ShouldEqual, "nine")
 		So(put(d, 9, "again"), ShouldBeFalse)
 	})
 }
--- a/pooler/coordination/takeover/takeover_test.go
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -175,9 +175,22 @@
 		So(phaseOf(one), ShouldEqual, "")
 		one.Seen["a"] = told(view.RolePrimary, 3, 99)
 		So(Step(one, DefaultTiming()), ShouldBeEmpty)
-		one = quiet()
-		one.Sights[0].Heard, one.Seen["a"] = 2*time.Second, failed()
+		for _, change := range []func(*Sight){
+			func(s *Sight) { s.Heard = 2 * time.Second }, func(s *Sight) { s.Tried = 1 }, func(s *Sight) { s.Blank = time.Second },
+		} {
+			one = quiet()
+			one.Seen["a"] = failed()
+			change(&one.Sights[0])
+			So(phaseOf(one), ShouldEqual, "")
+		}
+	})
+	Convey("One that itself says just now that it is a replica is, though no other leads yet", t, func() {
+		one := open()
+		one.Sights[0].Instance.Role = view.RoleReplica
+		So(effects[Ask](one), ShouldResemble, []Ask{{Instance: "a", Address: "a:1"}})
 		So(phaseOf(one), ShouldEqual, "")
+		one.Seen["a"] = told(view.RoleReplica, 3, 99)
+		So(phaseOf(one), ShouldEqual, view.PhaseClosing)
 	})
 	Convey("One that turned replica under another of a later term has its term closed; the other is asked first", t, func() {
 		one := open()
@@ -204,7 +217,7 @@
 		one.Seen["b"] = told(view.RoleReplica, 3, 80)
 		So(effects[StepDown](one), ShouldBeEmpty)
 		one.Seen, one.Sights[1].Heard = map[string]Seen{}, 4*time.Second
-		So(effects[StepDown](one), ShouldBeEmpty)
+		So(Step(one, DefaultTiming()), ShouldBeEmpty)
 	})
 	Convey("After an event the primary is asked, and its answer covers the event only where it was asked after it and in this tenure", t, func() {
 		one := open()
@@ -259,6 +272,17 @@
 		}
 		So(len(effects[Ask](one)), ShouldEqual, 3)
 		So(intended(one), ShouldEqual, "")
+		one.SettledFor = time.Hour
+		So(intended(one), ShouldEqual, "")
+	})
+	Convey("Nothing is chosen before the old primary was asked, unless it leaves or does not answer for long", t, func() {
+		one := closing(all())
+		delete(one.Seen, "a")
+		So(intended(one), ShouldEqual, "")
+		one.SettledFor = 2 * time.Second
+		So(intended(one), ShouldEqual, "b")
+		one.SettledFor, one.Sights[0].Instance.IsLeaving = 0, true
+		So(intended(one), ShouldEqual, "b")
 	})
 	Convey("All heard: the furthest, even where the reports are not whole, with a fence that rises only with the holder", t, func() {
 		one := closing(all())
@@ -350,6 +374,12 @@
 		So(writer.Primary, ShouldEqual, "c")
 		So(writer.Term, ShouldEqual, 5)
 		So(effects[Promote](one), ShouldBeEmpty)
+		before := told(view.RolePrimary, 5, 99)
+		before.IsAfter = false
+		one.Seen["c"] = before
+		_, isRecorded := recorded(one)
+		So(isRecorded, ShouldBeFalse)
+		So(effects[Ask](one), ShouldContain, Ask{Instance: "c", Address: "c:1"})
 	})
 }
 
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -51,7 +51,7 @@
 		return
 	}
 	now := c.clock()
-	c.epoch = epoch.New(c.name, len(c.fleet.controls), epoch.DefaultTiming(), saved, now)
+	c.epoch = epoch.NewFounding(c.name, epoch.Founding{Disks: len(c.fleet.controls), IsPaired: true}, epoch.DefaultTiming(), saved, now)
 	c.steer = steer.New(c.name, lease.DefaultTiming(), c.epoch.Record(), c.epoch.Table(), now)
 	c.keeper = ballot.NewKeeper(dutyTerm, now)
 	c.world.note("%s up", c.name)
