Recover sooner: bare leases, peers that answer at once, shorter suspicion, near reads

Cause: after a loss of power every node waited 900 ms for a peer that knew no control primary and did not answer, then 0.5 s for leases of its own former life. A dark primary was suspected after 1 s, and its own silence was waited for 400 ms more once closed. Ruled out: primacy (regained 0.2 s after start); the disks. Change: an ask says that its node holds no lease, with the run and number of the ask so that a late word changes nothing; a peer answers at once; suspicion by overdue answers after 600 ms; the old primary is waited for 150 ms; far reads cost twice.

--- a/pooler/cmd/plane/plane.go
+++ b/pooler/cmd/plane/plane.go
@@ -70,7 +70,7 @@
 	node.OnGone(func(remote string) {
 		p.do(func(now time.Duration) { p.hall.Gone(remote, now) })
 	})
-	fleet.On(node, func(_ string, ask msg.PassNews, answer func(any)) { p.onPassNews(ask, answer) })
+	node.OnPassNews(500 * time.Millisecond)
 	fleet.On(node, func(_ string, ask goes.Ask, answer func(any)) {
 		p.do(func(now time.Duration) { answer(p.hall.OnAsk(ask, now)) })
 	})
@@ -148,7 +148,7 @@
 		var ask steer.AskNews
 		p.do(func(now time.Duration) { ask = p.hall.Ask(now) })
 		sent := p.now()
-		news, isGood := p.askOnce(ask, misses)
+		news, isGood := p.node.AskNews(ask, misses, 600*time.Millisecond)
 		if isGood && news.IsPrimary {
 			misses = 0
 			p.do(func(now time.Duration) { p.hall.Took(news, sent, now) })
@@ -158,56 +158,3 @@
 		run.Await(make(chan struct{}), 30*time.Millisecond)
 	}
 }
-
-func (p *Plane) askOnce(ask steer.AskNews, misses int) (steer.News, bool) {
-	const bound = 600 * time.Millisecond
-	primary, nodes := p.node.Primary()
-	if primary == "" && len(nodes) == 0 {
-		return steer.News{}, false
-	}
-	address := primary
-	if address == "" || misses%3 == 2 {
-		address = nodes[misses%len(nodes)].Link
-	}
-	var reply any
-	var err error
-	if misses%3 == 1 && misses > 1 {
-		reply, err = p.askThrough(ask, misses, bound)
-	} else {
-		reply, err = p.node.Hub.Call(address, ask, bound)
-	}
-	news, isOne := reply.(steer.News)
-	if err != nil || !isOne {
-		p.node.Counts.Add("news_misses", 1)
-		return steer.News{}, false
-	}
-	p.node.Saw(news.Record)
-	return news, true
-}
-
-func (p *Plane) askThrough(ask steer.AskNews, misses int, bound time.Duration) (any, error) {
-	watched := p.node.Watched()
-	if len(watched) == 0 {
-		return nil, errNoPeer
-	}
-	peer, isKnown := p.node.Find(watched[misses/3%len(watched)])
-	if !isKnown {
-		return nil, errNoPeer
-	}
-	ask.Via = peer.Name
-	p.node.Counts.Add("news_through_peer", 1)
-	return p.node.Hub.Call(peer.Link, msg.PassNews{Ask: ask}, bound)
-}
-
-const errNoPeer = errors.ConstError("no such peer")
-
-func (p *Plane) onPassNews(pass msg.PassNews, answer func(any)) {
-	address, _ := p.node.Primary()
-	if address == "" {
-		return
-	}
-	reply, err := p.node.Hub.Call(address, pass.Ask, 500*time.Millisecond)
-	if err == nil {
-		answer(reply)
-	}
-}
--- a/pooler/cmd/sessions/news.go
+++ b/pooler/cmd/sessions/news.go
@@ -5,18 +5,14 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/valyala/fastjson"
 
 	"tansyseam.example/pooler/cmd/control"
 	"tansyseam.example/pooler/coordination/steer"
-	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 )
 
-const errNoPeer = errors.ConstError("no such peer")
-
 func (s *Sessions) askNews() {
 	misses := 0
 	for !s.node.Crew.IsStopping() {
@@ -32,7 +28,7 @@
 			continue
 		}
 		sent := s.now()
-		news, isGood := s.askOnce(ask, misses)
+		news, isGood := s.node.AskNews(ask, misses, 900*time.Millisecond)
 		if isGood && news.IsPrimary {
 			misses = 0
 			s.do(func(now time.Duration) { s.pool.Took(news, sent, now) })
@@ -43,60 +39,6 @@
 	}
 }
 
-func (s *Sessions) askOnce(ask steer.AskNews, misses int) (steer.News, bool) {
-	const bound = 900 * time.Millisecond
-	primary, nodes := s.node.Primary()
-	if primary == "" && len(nodes) == 0 {
-		return steer.News{}, false
-	}
-	address := primary
-	if address == "" || misses%3 == 2 {
-		if len(nodes) == 0 {
-			return steer.News{}, false
-		}
-		address = nodes[misses%len(nodes)].Link
-	}
-	var reply any
-	var err error
-	if misses%3 == 1 && misses > 1 {
-		reply, err = s.askThrough(ask, misses, bound)
-	} else {
-		reply, err = s.node.Hub.Call(address, ask, bound)
-	}
-	news, isOne := reply.(steer.News)
-	if err != nil || !isOne {
-		s.node.Counts.Add("news_misses", 1)
-		return steer.News{}, false
-	}
-	s.node.Saw(news.Record)
-	return news, true
-}
-
-func (s *Sessions) askThrough(ask steer.AskNews, misses int, bound time.Duration) (any, error) {
-	watched := s.node.Watched()
-	if len(watched) == 0 {
-		return nil, errNoPeer
-	}
-	peer, isKnown := s.node.Find(watched[misses/3%len(watched)])
-	if !isKnown {
-		return nil, errNoPeer
-	}
-	ask.Via = peer.Name
-	s.node.Counts.Add("news_through_peer", 1)
-	return s.node.Hub.Call(peer.Link, msg.PassNews{Ask: ask}, bound)
-}
-
-func (s *Sessions) onPassNews(pass msg.PassNews, answer func(any)) {
-	address, _ := s.node.Primary()
-	if address == "" {
-		return
-	}
-	reply, err := s.node.Hub.Call(address, pass.Ask, 800*time.Millisecond)
-	if err == nil {
-		answer(reply)
-	}
-}
-
 func (s *Sessions) serveCalls() {
 	for _, path := range []string{"/v1/bindings/put", "/v1/changes/book", "/v1/changes/list"} {
 		s.node.Serve(path, func(_ *fastjson.Value, raw []byte, _ *http.Request) (int, any) { return s.node.Pass(path, raw) })
--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -49,7 +49,7 @@
 		pool: pool.New(self, pool.DefaultTiming(), lease.DefaultTiming(), node.Counts.Add),
 	}
 	s.engine = wire.New(node.Crew, place.Sessions, stream.Longest, s.greet)
-	fleet.On(node, func(_ string, ask msg.PassNews, answer func(any)) { s.onPassNews(ask, answer) })
+	node.OnPassNews(800 * time.Millisecond)
 	fleet.On(node, func(_ string, query msg.Query, answer func(any)) { answer(msg.QueryAnswer{Body: s.query(query.What)}) })
 	s.serveCalls()
 	return s, nil
--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -66,6 +66,14 @@
 	d.nodes[node] = held
 }
 
+// OnBare notes that a node holds no lease now, nor will by an earlier grant.
+func (d *Desk) OnBare(node string, now time.Duration) {
+	if held, isMet := d.nodes[node]; isMet {
+		held.until = min(held.until, now)
+		d.nodes[node] = held
+	}
+}
+
 // Grant gives the lease that goes with an answer, counted by the node from
 // when it sent the ask. While a set is pending, leases are short, so that a
 // common moment can be set soon.
@@ -206,6 +214,16 @@
 	h.cutAt = now
 }
 
+// Bare says whether no lease is held now; grants for asks sent before are then
+// nothing from now on, so that the node may say so.
+func (h *Holder) Bare(now time.Duration) bool {
+	if h.IsHeld(now) {
+		return false
+	}
+	h.cutAt = max(h.cutAt, now)
+	return true
+}
+
 // IsHeld says whether the node may serve at this moment.
 func (h *Holder) IsHeld(now time.Duration) bool { return now < h.until }
 
--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -17,7 +17,7 @@
 	rank := m.backNames.Rank(info.Name)
 	for len(m.backs) <= rank {
 		database, _ := m.names.Find(info.Database)
-		m.backs = append(m.backs, &back{window: newWindow(m.tuning), database: database, answered: now})
+		m.backs = append(m.backs, &back{window: newWindow(m.tuning), database: database, answered: -time.Hour})
 	}
 	held := m.backs[rank]
 	known := held.info
@@ -119,7 +119,7 @@
 			continue
 		}
 		level := 0
-		for _, bound := range []time.Duration{500 * time.Millisecond, time.Second} {
+		for _, bound := range []time.Duration{300 * time.Millisecond, 610 * time.Millisecond} {
 			if m.overdue(target, now) > bound {
 				level++
 			}
@@ -137,7 +137,9 @@
 // stopped there, waits for them a little.
 func (m *Machine) IsSettling(now time.Duration) bool {
 	for _, one := range m.bases {
-		if one.closedAt != 0 && now-one.closedAt < m.timing.Settle && len(m.stranded(one)) > 0 {
+		head := m.back(m.serve.Writer(one.name).Primary)
+		isAlive := head != nil && now-head.answered < 2*m.timing.Settle
+		if isAlive && one.closedAt != 0 && now-one.closedAt < m.timing.Settle && len(m.stranded(one)) > 0 {
 			return true
 		}
 	}
--- a/pooler/coordination/selects/selects.go
+++ b/pooler/coordination/selects/selects.go
@@ -34,7 +34,7 @@
 	cost := float64(choice.Cal)/float64(time.Millisecond) + 1
 	cost *= 1 + choice.Pressure
 	if !choice.IsNear {
-		cost += 1.5
+		cost = cost*2 + 1.5
 	}
 	return cost
 }
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -50,6 +50,7 @@
 	doc     view.Doc
 	shown   uint64
 	isCut   bool
+	asks    uint64
 	sights  map[string]*Sight
 	samples map[string][]sample
 	highs   map[string]view.Position
@@ -159,9 +160,10 @@
 func (m *Machine) Ask(now time.Duration, lags map[string]time.Duration) steer.AskNews {
 	current, _ := m.Effective(now)
 	told := m.Told(now, lags)
+	m.asks++
 	return steer.AskNews{
 		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, IsCut: m.isCut, Reports: told.Reports, Highs: told.Highs,
-		Shows: current.Sequence,
+		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
 	}
 }
 
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -46,8 +46,12 @@
 	Via string
 	// Roll is the newest roll of instances held.
 	Roll Roll
-	// Birth names the run of the asking program.
-	Birth int64
+	// Birth names the run of the asking program; where it is given, Number
+	// rises with each ask of that run, so that one that comes late is known.
+	Birth  int64
+	Number uint64
+	// IsBare says that the node holds no lease, nor will by an earlier grant.
+	IsBare bool
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -135,7 +139,7 @@
 
 	roll     []view.Instance
 	rollNo   uint64
-	births   map[string]int64
+	births   map[string]lives
 	leased   map[string]bool
 	evidence map[string]time.Duration
 	event    uint64
@@ -259,8 +263,11 @@
 func (m *Machine) Ask(ask AskNews, token uint64, now time.Duration) {
 	if ask.Kind == view.KindData {
 		m.watch(now)
-		m.noteBirth(ask.Node, ask.Birth)
-		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut, now)
+		isLate := !m.noteAsk(ask)
+		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut && !isLate, now)
+		if ask.IsBare && !isLate && ask.Birth != 0 {
+			m.desk.OnBare(ask.Node, now)
+		}
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
 	}
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -21,7 +21,7 @@
 
 func (m *Machine) clearSynced() {
 	m.roll, m.rollNo = nil, 0
-	m.births, m.leased = map[string]int64{}, map[string]bool{}
+	m.births, m.leased = map[string]lives{}, map[string]bool{}
 	m.evidence = map[string]time.Duration{}
 	m.event = 1
 	m.covered, m.marks, m.phases = map[string]uint64{}, map[string]view.Position{}, map[string]phaseAt{}
@@ -98,12 +98,34 @@
 	m.leased = held
 }
 
-func (m *Machine) noteBirth(node string, birth int64) {
-	before := m.births[node]
-	if before != 0 && birth != before {
-		m.event++
+// lives is what the asks of one node tell of its runs.
+type lives struct {
+	birth  int64
+	number uint64
+	past   []int64
+}
+
+// noteAsk takes in which run of its program a node asks from, and gives false
+// for an ask that comes late: of a run that is over, or overtaken by another.
+func (m *Machine) noteAsk(ask AskNews) bool {
+	held := m.births[ask.Node]
+	if ask.Birth == 0 {
+		return true
+	}
+	if slices.Contains(held.past, ask.Birth) {
+		return false
+	}
+	if held.birth != ask.Birth {
+		if held.birth != 0 {
+			m.event++
+			held.past = append(held.past, held.birth)
+		}
+		held.birth, held.number = ask.Birth, 0
 	}
-	m.births[node] = birth
+	isLate := ask.Number < held.number
+	held.number = max(held.number, ask.Number)
+	m.births[ask.Node] = held
+	return !isLate
 }
 
 func (m *Machine) noteEvidence(report Report, now time.Duration) {
@@ -202,7 +224,7 @@
 		if one.report.Refused >= 2 {
 			sight.Refused++
 		}
-		if one.report.Overdue > time.Second {
+		if one.report.Overdue > takeover.DefaultTiming().Overdue {
 			sight.Overdue++
 		}
 	}
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -251,3 +251,42 @@
 		So(put(d, 9, "again"), ShouldBeFalse)
 	})
 }
+
+func TestAsksOfRuns(t *testing.T) {
+	bare := func(number uint64, birth int64) AskNews {
+		return AskNews{Node: "d1", Kind: view.KindData, Birth: birth, Number: number, IsBare: true}
+	}
+	Convey("A node that says it holds no lease is not waited for; a late word of that, or of an earlier run, changes nothing", t, func() {
+		d := newDesk(3, table.New())
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, Birth: 7, Number: 2}, 1, d.now)
+		d.settle()
+		held := func() bool {
+			_, isHeld := d.Held(d.now)["d1"]
+			return isHeld
+		}
+		grant := func(number uint64, birth int64) {
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Birth: birth, Number: number}, 2, d.now)
+			d.pass(Wait)
+			d.Flush(true, d.wall, d.now)
+		}
+		grant(3, 7)
+		So(held(), ShouldBeTrue)
+		d.Ask(bare(2, 7), 3, d.now)
+		So(held(), ShouldBeTrue)
+		d.Ask(bare(4, 7), 4, d.now)
+		So(held(), ShouldBeFalse)
+		grant(1, 8)
+		So(held(), ShouldBeTrue)
+		d.Ask(bare(9, 7), 5, d.now)
+		So(held(), ShouldBeTrue)
+		d.Ask(bare(2, 8), 6, d.now)
+		So(held(), ShouldBeFalse)
+	})
+	Convey("A node that gives no run is taken at its word for nothing", t, func() {
+		d := newDesk(3, table.New())
+		d.ask("d1", table.Stamp{}, false)
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, IsBare: true}, 9, d.now)
+		_, isHeld := d.Held(d.now)["d1"]
+		So(isHeld, ShouldBeTrue)
+	})
+}
--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -142,6 +142,8 @@
 	Look, Soon, Idle time.Duration
 	// Patience is how long the positions of silent replicas are waited for.
 	Patience time.Duration
+	// Glance is how long the old primary's own answer is waited for.
+	Glance time.Duration
 	// Again is the pace of repeated calls, Retry that after a refusal for
 	// their rate.
 	Again, Retry time.Duration
@@ -153,9 +155,9 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Live: 3 * time.Second, Known: time.Minute, Gathered: 700 * time.Millisecond, Settling: time.Second,
-		Refusal: 300 * time.Millisecond, Overdue: time.Second, Blank: 2 * time.Second, Silence: 2500 * time.Millisecond,
+		Refusal: 300 * time.Millisecond, Overdue: 600 * time.Millisecond, Blank: 2 * time.Second, Silence: 2500 * time.Millisecond,
 		Look: 900 * time.Millisecond, Soon: 150 * time.Millisecond, Idle: time.Second,
-		Patience: 1200 * time.Millisecond, Again: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Order: 500 * time.Millisecond,
+		Patience: 1200 * time.Millisecond, Glance: 150 * time.Millisecond, Again: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Order: 500 * time.Millisecond,
 	}
 }
 
@@ -465,7 +467,7 @@
 		writer.Phase, writer.Since, writer.Why = view.PhaseOpen, at.Wall, ""
 		return []any{Record{Writer: writer, What: "term opened again", Evidence: at.Writer.Primary + " answers as primary, and nothing was promoted"}}
 	}
-	isOldAsked := !isStaying || (isSeen && seen.IsAfter) || at.SettledFor > timing.Patience
+	isOldAsked := !isStaying || (isSeen && seen.IsAfter) || at.SettledFor > timing.Glance
 	isWaiting := len(found.silent) > 0 && at.SettledFor <= timing.Patience
 	if !isOldAsked || isWaiting {
 		return found.effects
--- a/pooler/transport/link/link.go
+++ b/pooler/transport/link/link.go
@@ -91,6 +91,7 @@
 // peer is one connection with its two gob streams.
 type peer struct {
 	conn    *nbio.Conn
+	counts  *run.Counters
 	mutex   sync.Mutex
 	out     bytes.Buffer
 	encoder *gob.Encoder
@@ -99,8 +100,8 @@
 	decoder *gob.Decoder
 }
 
-func newPeer(conn *nbio.Conn) *peer {
-	p := &peer{conn: conn}
+func newPeer(conn *nbio.Conn, counts *run.Counters) *peer {
+	p := &peer{conn: conn, counts: counts}
 	p.encoder, p.decoder = gob.NewEncoder(&p.out), gob.NewDecoder(&p.in)
 	return p
 }
@@ -117,6 +118,7 @@
 	frame := p.out.Bytes()
 	head(frame, streamed)
 	_, _ = p.conn.Write(frame)
+	p.counts.Add("link_out_bytes", int64(len(frame)))
 	return nil
 }
 
@@ -146,7 +148,7 @@
 	h.engine.OnOpen(func(conn *nbio.Conn) {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
-		conn.SetSession(newPeer(conn))
+		conn.SetSession(newPeer(conn, counts))
 	})
 	h.engine.OnData(h.onData)
 	h.engine.OnClose(h.onClose)
