Try nodes held dead in turn, so that halves find each other after a cut

Cause: after a cut between all data nodes and all control machines, each side held the other dead and tried only the seeds, every 2.8 s; nodes knew nobody to ask for news. Change: each beat also goes to one node held dead; with no control machine live the dead ones are asked. Test: two halves of 7 find one another within 1.5 s.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -471,6 +471,9 @@
 func (n *Node) Primary() (string, []view.Node) {
 	record := n.Record()
 	nodes := n.Nodes(view.KindControl, member.IsLive)
+	if len(nodes) == 0 {
+		nodes = n.Nodes(view.KindControl, member.IsDead)
+	}
 	for _, node := range nodes {
 		if node.Name == record.Primary {
 			return node.Link, nodes
--- a/pooler/coordination/member/member.go
+++ b/pooler/coordination/member/member.go
@@ -278,6 +278,9 @@
 	for _, name := range m.Watched() {
 		send(m.peers[name].node.Link, m.peers[name])
 	}
+	if lost := m.lost(); lost != nil {
+		send(lost.node.Link, lost)
+	}
 	isAlone := len(m.names()) < 4
 	if isAlone || m.self.Beat%8 == 0 {
 		for _, seed := range m.seeds {
@@ -288,6 +291,22 @@
 	m.judge(now)
 }
 
+// lost gives one of the nodes held dead, each in its turn: after a cut that
+// fell between halves, somebody must try the other.
+func (m *Machine) lost() *peer {
+	var names []string
+	for name, other := range m.peers {
+		if other.standing == IsDead {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	slices.Sort(names)
+	return m.peers[names[int(m.self.Beat)%len(names)]]
+}
+
 func (m *Machine) at(link string) *peer {
 	for _, other := range m.peers {
 		if other.node.Link == link && other.standing == IsLive {
--- a/pooler/coordination/member/member_test.go
+++ b/pooler/coordination/member/member_test.go
@@ -154,4 +154,18 @@
 			So(len(town.members[name].suspicions), ShouldEqual, 0)
 		}
 	})
+	Convey("Two halves that held each other dead find one another soon after the cut between them is over", t, func() {
+		town := newTown(14)
+		town.pass(4 * time.Second)
+		half := func(name string) bool { return name < "n07" }
+		town.cut = func(from, to string) bool { return half(from) != half(to) }
+		town.pass(8 * time.Second)
+		So(town.holding("n01", IsDead), ShouldEqual, 7)
+		So(town.holding("n09", IsDead), ShouldEqual, 7)
+		town.cut = func(string, string) bool { return false }
+		town.pass(1500 * time.Millisecond)
+		for _, name := range town.order {
+			So(town.holding(name, IsLive), ShouldEqual, 13)
+		}
+	})
 }
