End a connection whose answer has no end before its statement is let go

Cause: a READY without DONE or ERROR was found malformed only after the connection had let go of the statement, which then hung until its deadline. Test seen failing first (TestLostConnections: an answer without an end). Change: checked on arrival, while the statement is still the connection's; a read is asked again, a write is unknown at once. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -399,6 +399,11 @@
 		return
 	}
 	l := first.leg
+	if !l.hasEnd {
+		m.count("answers_malformed", 1)
+		m.Lost(conn, now)
+		return
+	}
 	if !l.isBegun {
 		m.onBegun(l, message, now)
 		return
@@ -466,11 +471,6 @@
 		m.recycle(conn, now)
 		return
 	}
-	if !l.hasEnd {
-		m.count("answers_malformed", 1)
-		m.Lost(conn, now)
-		return
-	}
 	if j.turn != nil {
 		m.settleTurn(l, ready, now)
 		return
@@ -487,7 +487,7 @@
 // first statement, which follows only now: it must never run outside.
 func (m *Machine) onBegun(l *leg, ready stream.Message, now time.Duration) {
 	j, conn := l.job, l.conn
-	isGood := l.hasEnd && l.end.Kind == stream.KindDone && ready.State == stream.StateInside
+	isGood := l.end.Kind == stream.KindDone && ready.State == stream.StateInside
 	isOurs := !l.isDropped && j.phase == phaseOut
 	if isGood && isOurs {
 		l.hasEnd, l.isBegun, l.rows, l.sentAt = false, true, nil, now
