Take rows or a second end after the end of an answer for a broken connection

Cause: what came between an end and its READY was added to the answer, so rows of one statement could have passed as another's. Test seen failing first (TestLostConnections: rows or a second end). Change: such a connection is lost. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -329,7 +329,8 @@
 	}
 	first := conn.waits[0]
 	act, isKnown := arrivals[message.Kind]
-	if !isKnown {
+	isPast := first.leg != nil && first.leg.hasEnd && message.Kind != stream.KindReady
+	if !isKnown || isPast {
 		m.count("answers_malformed", 1)
 		m.Lost(conn, now)
 		return
