Lose the transaction with its connection when the instance speaks out of turn

Cause: a message on a connection that waited for nothing shut it, but its transaction kept it: the next statement was sent on a closed connection and told as unknown at its deadline. Test seen failing first (TestLostConnections: a word out of turn). Change: such a connection is lost like any other. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -324,7 +324,7 @@
 	}
 	if len(conn.waits) == 0 {
 		m.count("answers_unasked", 1)
-		m.shut(conn, now)
+		m.Lost(conn, now)
 		return
 	}
 	first := conn.waits[0]
