Lend no connection on that an instance says is inside a transaction

Cause: after a single statement or a rollback the state told was not looked at; a rollback that did not end its transaction would have put the next client into it. Tests seen failing first (TestBegin: a rollback that does not end, a single statement that leaves). Change: such a connection is shut. Conclusion: the tests pass.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -394,7 +394,7 @@
 	}
 	if first.leg == nil {
 		if len(conn.waits) == 0 && conn.leg == nil {
-			m.recycle(conn, now)
+			m.recycleState(conn, message.State, now)
 			m.pump(m.baseOf(held), now)
 		}
 		return
@@ -476,7 +476,7 @@
 		m.settleTurn(l, ready, now)
 		return
 	}
-	m.recycle(conn, now)
+	m.recycleState(conn, ready.State, now)
 	if l.end.Kind == stream.KindError {
 		m.settleError(l, now)
 		return
