Let a refused begin or read rest before it is sent again, and end it with a promise

Cause: a BEGIN or read refused with BUSY or READONLY went out again at once, nine times within milliseconds, and was then told as FAILED, which is no promise, although nothing of it had run. Test seen failing first (TestBegin: refused for as long as it may wait). Ruled out: resting the whole instance, since the window already answers for its load. Change: the statement rests 20 ms more each time, others pass it in line; one that was LAGGING goes elsewhere at once; the ninth refusal is told as BUSY. Conclusion: passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -304,13 +304,22 @@
 	}
 	j.legs, j.isTwin = nil, false
 	j.tries++
-	if j.tries > 8 {
-		m.refuse(j, stream.CodeFailed, "no instance answered", now)
+	if j.tries > m.timing.Tries {
+		m.refuse(j, stream.CodeBusy, "no instance took it; come back in 200 ms", now)
 		return
 	}
 	m.bind(j, now)
 }
 
+// pause puts a statement that an instance refused back in line; unless it
+// lagged, and another may not, it waits a little.
+func (m *Machine) pause(j *Job, code stream.Code, now time.Duration) {
+	if code != stream.CodeLagging {
+		j.restAt = now + time.Duration(j.tries+1)*m.timing.Pause
+	}
+	m.again(j, now)
+}
+
 // Came takes messages from an instance, in order.
 func (m *Machine) Came(conn *Conn, message stream.Message, now time.Duration) {
 	if conn.state == connOver {
@@ -504,7 +513,7 @@
 	m.recycleState(conn, ready.State, now)
 	if isOurs {
 		j.turn.conn = nil
-		m.again(j, now)
+		m.pause(j, l.end.Code, now)
 	}
 	m.pump(m.baseOf(conn.back), now)
 }
@@ -541,7 +550,7 @@
 		if l.end.Code == stream.CodeNotFound {
 			l.conn.isDirty = true
 		}
-		m.again(j, now)
+		m.pause(j, l.end.Code, now)
 		return
 	}
 	c := j.client
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -134,8 +134,13 @@
 	if !isOpen || !m.serve.MayWrite(one.name, writer.Term, now) {
 		return
 	}
-	for len(one.writes) > 0 && target.window.HasRoom() {
-		j := one.writes[0]
+	for _, j := range slices.Clone(one.writes) {
+		if !target.window.HasRoom() {
+			return
+		}
+		if j.phase != phaseLine || now < j.restAt {
+			continue
+		}
 		conn := m.spare(target, j.client)
 		if conn == nil {
 			m.grow(target, len(one.writes), now)
@@ -152,7 +157,7 @@
 		if misses > 8 {
 			return
 		}
-		if j.phase != phaseLine {
+		if j.phase != phaseLine || now < j.restAt {
 			continue
 		}
 		target, floor := m.selectBack(one, j, nil, now)
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -35,6 +35,10 @@
 	Inside time.Duration
 	// RestFirst and RestMost bound the rest after a connection was refused.
 	RestFirst, RestMost time.Duration
+	// Pause is how long a statement that was refused waits, for each time that
+	// it was, and Tries how often it may be put back.
+	Pause time.Duration
+	Tries int
 	// Lagging is how long a replica that lagged is passed over.
 	Lagging time.Duration
 	// Caught is the age from which a session's own commit is taken to have
@@ -57,6 +61,7 @@
 	return Timing{
 		Timeout: 5 * time.Second, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
+		Pause: 20 * time.Millisecond, Tries: 8,
 		Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
 		Linger: 2300 * time.Millisecond, Turns: 2900 * time.Millisecond, Finish: 5400 * time.Millisecond,
 		Line: 4096, Clients: 3000, Inbox: 16, Shapes: 200, Reference: 200 * time.Millisecond,
@@ -193,6 +198,7 @@
 	legs     []*leg
 	isTwin   bool
 	tries    int
+	restAt   time.Duration
 	term     uint64
 	floor    view.Position
 	answer   []stream.Message
