Prepare again for a single write whose prepared name an instance does not know

Cause: only reads were sent again after NOTFOUND, and only their connection was reset; a write's client was told that the name it had prepared is unknown, time and again. Test seen failing first (TestShapes: a name that an instance does not know). Change: NOTFOUND says that nothing ran, so a single write goes again too, and the connection is reset whatever asked. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -545,11 +545,11 @@
 	if l.end.Code == stream.CodeLagging {
 		l.conn.back.lagUntil = now + m.timing.Lagging
 	}
-	isAgain := j.isFree() && (l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly || l.end.Code == stream.CodeNotFound)
+	isUnknown := l.end.Code == stream.CodeNotFound
+	l.conn.isDirty = l.conn.isDirty || isUnknown
+	isRefused := l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly
+	isAgain := (j.isFree() && isRefused) || (j.turn == nil && isUnknown)
 	if isAgain {
-		if l.end.Code == stream.CodeNotFound {
-			l.conn.isDirty = true
-		}
 		m.pause(j, l.end.Code, now)
 		return
 	}
