Take WRONGHOST for no sign of life, and let refused connections rest for longer

Cause: any answer to a connect counted as heard of the instance sought, also WRONGHOST from another that has its address by now, so a dead primary looked alive to the control plane; and it reset the rest, so that FULL was met by a new try each 40 ms, 38 in 1.9 s. Tests seen failing first (TestLostConnections: a refused connection rests, an address of another). Change: WRONGHOST counts as refused; only an opened connection ends the rest.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -326,11 +326,11 @@
 		return
 	}
 	held := conn.back
-	held.answered, held.refused, held.rest = now, 0, 0
 	if conn.state == connOpening {
 		m.onOpening(conn, message, now)
 		return
 	}
+	held.answered, held.refused = now, 0
 	if len(conn.waits) == 0 {
 		m.count("answers_unasked", 1)
 		m.Lost(conn, now)
@@ -375,7 +375,12 @@
 
 func (m *Machine) onOpening(conn *Conn, message stream.Message, now time.Duration) {
 	held := conn.back
+	if message.Code == stream.CodeWrongHost {
+		m.Lost(conn, now)
+		return
+	}
 	held.opening--
+	held.answered, held.refused = now, 0
 	if message.Kind != stream.KindReady {
 		m.count("connections_refused", 1)
 		m.rest(held, now)
@@ -384,6 +389,7 @@
 		return
 	}
 	m.count("connections_opened", 1)
+	held.rest = 0
 	held.position = held.position.Later(message.Position)
 	conn.state = connBusy
 	m.recycle(conn, now)
