Send nothing out whose time was over while it waited for a lease

Cause: the binding's time is known only with a lease; a statement that had waited past it went out all the same, a write as well. Test seen failing first (TestDeadlines: a lease that comes after). Change: ended with a promise instead. Conclusion: passes.

--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -41,6 +41,11 @@
 	if j.binding.Timeout > 0 {
 		j.deadline = j.arrived + j.binding.Timeout
 	}
+	if now >= j.deadline {
+		m.count("timeouts", 1)
+		m.lateInLine(j, now)
+		return
+	}
 	isReading := !j.isWrite && !j.isCommit
 	if j.turn != nil {
 		isReading = j.turn.isRead
