Count a transaction's rest from its last answer, not from its last question

Cause: a statement answered late left its transaction less than the rest that it may have, or none. Test seen failing first (TestDeadlines: rests for too long). Change: counted from the answer. Conclusion: the test passes.

--- a/pooler/coordination/pool/clients.go
+++ b/pooler/coordination/pool/clients.go
@@ -121,6 +121,7 @@
 }
 
 func (m *Machine) next(c *Client, now time.Duration) {
+	c.used = now
 	for len(c.inbox) > 0 && c.job == nil && !c.isGone {
 		asked := c.inbox[0]
 		c.inbox = c.inbox[1:]
