Abort transactions of an earlier term at a primary that leads again in a later one

Cause: a node that saw a primary's term and then a later one of the same primary, none between, kept the open transactions: their statements waited in line until the deadline. Test seen failing first (TestClosing: the ones between unseen). Change: a new term is enough, whoever leads it. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -195,7 +195,7 @@
 		one.closedAt = now
 	}
 	old := m.back(moved.Before.Primary)
-	isFenced := moved.Before.Phase == view.PhaseOpen && old != nil && (moved.After.Phase != view.PhaseOpen || moved.After.Primary != moved.Before.Primary)
+	isFenced := moved.Before.Phase == view.PhaseOpen && old != nil && (moved.After.Phase != view.PhaseOpen || moved.After.Term != moved.Before.Term)
 	if !isFenced {
 		return
 	}
