Roll a transaction back of which an instance promises that nothing is kept

Cause: a statement refused inside left the transaction as the instance told it; where that was still open, a commit after the promise would have kept the rest. Change: after a promise the transaction is rolled back and the session told so.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -535,7 +535,10 @@
 	} else {
 		conn.state = connIdle
 		c.state = ready.State
-		if ready.State == stream.StateFailed {
+		if isError && l.end.Code.IsPromise() {
+			c.state = stream.StateFailed
+		}
+		if c.state == stream.StateFailed {
 			m.endTurn(c, now)
 		}
 	}
--- a/pooler/state/stream/stream.go
+++ b/pooler/state/stream/stream.go
@@ -61,6 +61,9 @@
 	CodeMalformed
 )
 
+// IsPromise says whether the code promises that nothing of the try is kept.
+func (c Code) IsPromise() bool { return c >= CodeBusy && c <= CodeFull }
+
 // States of a session after an answer.
 const (
 	StateIdle   = byte('I')
