Wait for a read's twin when one of the two is refused

Cause: a refusal of either put the read back in line and dropped what the other would have answered. Test seen failing first (TestTwins: a refusal of one). Change: as with a lost connection, the other answers. Conclusion: the test passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -558,6 +558,10 @@
 	l.conn.isDirty = l.conn.isDirty || isUnknown
 	isRefused := l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly
 	isAgain := (j.isFree() && isRefused) || (j.turn == nil && isUnknown)
+	if isAgain && l.hasTwin() {
+		l.isDropped = true
+		return
+	}
 	if isAgain {
 		m.pause(j, l.end.Code, now)
 		return
--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -115,15 +115,20 @@
 		m.abortTurn(j, now)
 		return
 	}
-	for _, other := range j.legs {
-		if other != l && !other.isDropped && other.conn.state == connBusy {
-			l.isDropped = true
-			return
-		}
+	if l.hasTwin() {
+		l.isDropped = true
+		return
 	}
 	m.again(j, now)
 }
 
+// hasTwin says whether the statement is out at another instance too.
+func (l *leg) hasTwin() bool {
+	return slices.ContainsFunc(l.job.legs, func(other *leg) bool {
+		return other != l && !other.isDropped && other.conn.state == connBusy
+	})
+}
+
 // expire ends what its bound has passed for: statements and openings.
 func (m *Machine) expire(now time.Duration) {
 	for _, j := range slices.Clone(m.leaseless) {
