Order sessions by number, so that the same events always have the same effects

Cause: sessions that came at the same moment were ended in the order of a map, so a simulation would not repeat. Change: numbered as they come.

--- a/pooler/coordination/pool/clients.go
+++ b/pooler/coordination/pool/clients.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,8 @@
 		m.count("clients_refused", 1)
 		return nil
 	}
-	made := &Client{Token: token, state: stream.StateIdle, came: now, used: now}
+	m.ranks++
+	made := &Client{Token: token, state: stream.StateIdle, rank: m.ranks, used: now}
 	m.clients[made] = true
 	m.count("clients_met", 1)
 	return made
@@ -328,7 +330,7 @@
 	for c := range m.clients {
 		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b *Client) int { return int(a.came - b.came) })
+	slices.SortFunc(list, func(a, b *Client) int { return cmp.Compare(a.rank, b.rank) })
 	return list
 }
 
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -146,7 +146,7 @@
 	turn     *turn
 	job      *Job
 	inbox    []Asked
-	came     time.Duration
+	rank     uint64
 	used     time.Duration
 	isMet    bool
 	isGone   bool
@@ -323,6 +323,7 @@
 	clients   map[*Client]bool
 	leaseless []*Job
 	guests    []*Client
+	ranks     uint64
 	roll      steer.Roll
 	peers     int
 	sizes     []sizeAt
