Send a leaving primary nothing more after 5 s, and until then keep its connections

Cause: work that needs the primary went to a leaving one for as long as its term was open, past the time in which it may; and each statement there opened a connection of its own, since none was kept. Change: nothing new after 5 s, as for open transactions; the connections stay until the role moves or the time is over.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -35,7 +35,9 @@
 		held.leavingAt = 0
 	} else if held.leavingAt == 0 {
 		held.leavingAt = now
-		m.shutIdle(held, now)
+		if !m.isHead(held) {
+			m.shutIdle(held, now)
+		}
 	}
 	m.retune(held)
 	m.pump(one, now)
--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -6,7 +6,6 @@
 
 	"tansyseam.example/pooler/coordination/admit"
 	"tansyseam.example/pooler/state/stream"
-	"tansyseam.example/pooler/state/view"
 )
 
 func (m *Machine) shutIdle(held *back, now time.Duration) {
@@ -22,7 +21,7 @@
 		return
 	}
 	conn.state, conn.leg = connIdle, nil
-	if held.leavingAt != 0 || held.info.IsGone || len(held.conns) > m.share(held) {
+	if (held.leavingAt != 0 && !m.isHead(held)) || held.info.IsGone || len(held.conns) > m.share(held) {
 		m.shut(conn, now)
 		return
 	}
@@ -236,9 +235,10 @@
 			m.shut(conn, now)
 		}
 	}
-	if held.leavingAt == 0 || now-held.leavingAt < graceOf(held.info) {
+	if !m.isSpent(held, now) {
 		return
 	}
+	m.shutIdle(held, now)
 	for _, conn := range slices.Clone(held.conns) {
 		if conn.owner != nil {
 			m.loseTurn(conn.owner, now)
@@ -246,7 +246,11 @@
 	}
 }
 
-func graceOf(view.Instance) time.Duration { return 5 * time.Second }
+// isSpent says whether an instance has been leaving for so long that nothing
+// more is sent there.
+func (m *Machine) isSpent(held *back, now time.Duration) bool {
+	return held.leavingAt != 0 && now-held.leavingAt >= m.timing.Leaving
+}
 
 // IsOver says whether the machine has given the connection up.
 func (c *Conn) IsOver() bool { return c.state == connOver }
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -136,7 +136,7 @@
 
 func (m *Machine) pumpWrites(one *base, now time.Duration) {
 	writer, target, isOpen := m.writer(one)
-	if !isOpen || !m.serve.MayWrite(one.name, writer.Term, now) {
+	if !isOpen || !m.serve.MayWrite(one.name, writer.Term, now) || m.isSpent(target, now) {
 		return
 	}
 	for _, j := range slices.Clone(one.writes) {
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -39,6 +39,9 @@
 	// it was, and Tries how often it may be put back.
 	Pause time.Duration
 	Tries int
+	// Leaving is how long an instance that leaves is still sent what must go
+	// there: statements of open transactions, and all that needs the primary.
+	Leaving time.Duration
 	// Lagging is how long a replica that lagged is passed over.
 	Lagging time.Duration
 	// Caught is the age from which a session's own commit is taken to have
@@ -62,7 +65,7 @@
 		Timeout: 5 * time.Second, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
-		Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
+		Leaving: 5 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
 		Linger: 2300 * time.Millisecond, Turns: 2900 * time.Millisecond, Finish: 5400 * time.Millisecond,
 		Line: 4096, Clients: 3000, Inbox: 16, Shapes: 200, Reference: 200 * time.Millisecond,
 	}
@@ -382,6 +385,11 @@
 	return writer, target, writer.Phase == view.PhaseOpen && target != nil && !target.info.IsGone
 }
 
+func (m *Machine) isHead(held *back) bool {
+	_, target, isOpen := m.writer(m.baseOf(held))
+	return isOpen && target == held
+}
+
 // Ready says whether the node may be given sessions, and why not.
 func (m *Machine) Ready(now time.Duration) (bool, string) {
 	checks := []struct {
