Promise nothing on a commit of a reading transaction into which a write was sent

Cause: the commit of a transaction that was begun for reading was taken to keep nothing, also when its client had sent a write inside and the instance had taken it. Change: it counts as any other commit then: unknown when lost, confirmed before it is told.

--- a/pooler/coordination/pool/clients.go
+++ b/pooler/coordination/pool/clients.go
@@ -210,7 +210,7 @@
 		m.fail(c, stream.CodeMalformed, "inside a transaction already", true)
 		return
 	}
-	c.state, c.turn = stream.StateInside, &turn{isRead: isRead, came: now}
+	c.state, c.turn = stream.StateInside, &turn{isRead: isRead}
 	m.done(c)
 }
 
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -322,6 +322,9 @@
 		}
 		outs = append(outs, m.textOf(j, conn, floor))
 	}
+	if isTurn && j.isWrite {
+		j.turn.hasWrites = true
+	}
 	j.legs = append(j.legs, held)
 	j.phase = phaseOut
 	conn.back.window.Take()
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -165,8 +165,9 @@
 	binding view.Binding
 	isRead  bool
 	isLost  bool
-	conn    *Conn
-	came    time.Duration
+	// hasWrites says that a write was passed on, if only to be refused.
+	hasWrites bool
+	conn      *Conn
 }
 
 // Asked is one query of a client.
@@ -210,7 +211,7 @@
 
 // mayLast says whether the statement, once run, may keep something for good.
 func (j *Job) mayLast() bool {
-	return (j.isCommit && !j.turn.isRead) || (j.isWrite && j.turn == nil)
+	return (j.isCommit && (!j.turn.isRead || j.turn.hasWrites)) || (j.isWrite && j.turn == nil)
 }
 
 // isSent says whether the statement itself has been passed on.
