Go through the lines as they are when statements expire, not as they were

Cause: the lines to look through were taken before the first; what ended in one took statements out of the next and left holes there, and the node panicked. Change: each line is copied when its turn comes.

--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -136,8 +136,8 @@
 		}
 	}
 	for _, one := range m.bases {
-		for _, list := range [][]*Job{one.turns, one.writes, one.reads, one.out, one.confirms} {
-			for _, j := range slices.Clone(list) {
+		for _, list := range []*[]*Job{&one.turns, &one.writes, &one.reads, &one.out, &one.confirms} {
+			for _, j := range slices.Clone(*list) {
 				if j.phase != phaseEnded && now >= j.deadline {
 					m.late(j, now)
 				}
