Pass nothing on whose time is over, whatever event comes first after a pause

Cause: a node that was held up passed statements on from its lines before its next beat ended them: a write went out and was unknown in the same moment. Change: what is past its time waits in line to be ended with a promise.

--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -117,6 +117,12 @@
 	}
 }
 
+// isDue says whether a statement in line may go out now; one whose time is
+// over is about to be ended.
+func (j *Job) isDue(now time.Duration) bool {
+	return j.phase == phaseLine && now >= j.restAt && now < j.deadline
+}
+
 func (m *Machine) pumpTurns(one *base, now time.Duration) {
 	for _, j := range slices.Clone(one.turns) {
 		conn := j.turn.conn
@@ -127,7 +133,7 @@
 		}
 		writer, _, isOpen := m.writer(one)
 		isFenced := !j.turn.isRead && (!isOpen || writer.Term != conn.term || !m.serve.IsLeased(now))
-		if !isFenced && conn.back.window.HasRoom() {
+		if !isFenced && j.isDue(now) && conn.back.window.HasRoom() {
 			j.term = conn.term
 			m.pass(j, conn, now)
 		}
@@ -143,7 +149,7 @@
 		if !target.window.HasRoom() {
 			return
 		}
-		if j.phase != phaseLine || now < j.restAt {
+		if !j.isDue(now) {
 			continue
 		}
 		conn := m.spare(target, j.client)
@@ -162,7 +168,7 @@
 		if misses > 8 {
 			return
 		}
-		if j.phase != phaseLine || now < j.restAt {
+		if !j.isDue(now) {
 			continue
 		}
 		target, floor := m.selectBack(one, j, nil, now)
