--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -202,7 +202,7 @@
 		return
 	}
 	for _, j := range slices.Clone(one.out) {
-		if j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
+		if j.phase == phaseOut && j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
 			m.again(j, now)
 		}
 	}
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -125,6 +125,9 @@
 
 func (m *Machine) pumpTurns(one *base, now time.Duration) {
 	for _, j := range slices.Clone(one.turns) {
+		if j.phase != phaseLine {
+			continue
+		}
 		conn := j.turn.conn
 		if conn == nil || j.turn.isLost {
 			m.unline(j)
