Promise nothing on such a commit either when its instance has left for good

Cause: where a transaction was given up with its commit out, one begun for reading was told as aborted, though a write had been sent inside. Change: the same question is asked as elsewhere. Conclusion: it passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -229,7 +229,7 @@
 		return
 	}
 	j := c.job
-	if j != nil && j.isSent() && j.isCommit && !held.isRead {
+	if j != nil && j.isSent() && j.mayLast() {
 		m.cut(j, now)
 		return
 	}
