Simulate fleets of synced instances in virtual time, and check every rule

Cause: pool, steer, epoch and takeover had met each other in tests of their own only. Change: a second kind of fleet in the simulator, on the same world, disks, links and control machines: nodes that run pool, instances with numbered logs, terms, slots and replication that one replica confirms, a platform that promotes late, refuses and doubles, clients with transactions, values, prepared names and retries; 28 troubles by seed. Checked at the instances and at the clients: UNASKED, MIXED, PINNED, TWICE, REFUSED, STALE, ONE, LOST, DRAIN, CONFIG, RECOVER; twelve planted defects each break their rule, and the same seeds pass without. simulate -manner lines plays many seeds. Ruled out as faults of the product while it was built: a session's own commits counted at a late run of a read already given up; a version inferred from such a run.

--- a/proof/cmd/simulate/main.go
+++ b/proof/cmd/simulate/main.go
@@ -21,6 +21,8 @@
 	count := flag.Uint64("count", 100, "number of seeds")
 	shapeName := flag.String("shape", "magnolia", "magnolia or chile")
 	replay := flag.Uint64("replay", 0, "replay this one seed, with its history")
+	manner := flag.String("manner", "json", "json for back ends that push positions, lines for synced instances")
+	jobs := flag.Int("jobs", runtime.NumCPU(), "seeds played at once")
 	isMet := flag.Bool("met", false, "print how often each trouble met each phase")
 	isAdmission := flag.Bool("admission", false, "play the admission experiments and print their table")
 	flag.Parse()
@@ -28,6 +30,9 @@
 		admission(*from)
 		return 0
 	}
+	if *manner == "lines" {
+		return lines(*from, *count, *replay, *jobs, *shapeName, *isMet)
+	}
 	shape, isKnown := map[string]sim.Shape{"magnolia": sim.Magnolia(), "chile": sim.Chile()}[*shapeName]
 	if !isKnown {
 		fmt.Fprintln(os.Stderr, "no such shape")
@@ -41,7 +46,7 @@
 	seeds := make(chan uint64)
 	results := make(chan sim.Result)
 	var group sync.WaitGroup
-	for range runtime.NumCPU() {
+	for range *jobs {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -78,10 +83,12 @@
 	return verdict(broken)
 }
 
-func showMet(met map[string]int) {
+func showMet(met map[string]int) { showMetOf(sim.TroubleNames(), met) }
+
+func showMetOf(names []string, met map[string]int) {
 	fmt.Println("| trouble | " + strings.Join(sim.Phases, " | ") + " |")
 	fmt.Println("|---|" + strings.Repeat("---|", len(sim.Phases)))
-	for _, name := range sim.TroubleNames() {
+	for _, name := range names {
 		row := "| " + name
 		for _, phase := range sim.Phases {
 			row += fmt.Sprintf(" | %d", met[name+" / "+phase])
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -33,6 +33,8 @@
 	asks    map[uint64]func(steer.News)
 	isAsked map[string]bool
 	crashAt int
+
+	evidence map[string]*evidence
 }
 
 func (c *control) start() {
@@ -43,6 +45,7 @@
 	c.seek = map[string]*ballot.Seeker{}
 	c.heard = map[string]steer.Heard{}
 	c.isAsked = map[string]bool{}
+	c.evidence = map[string]*evidence{}
 	c.store = synced.NewStore(c.disk, 4)
 	saved, err := epoch.Load(c.store, func(kind string, passed int) { c.world.note("%s passed over %d %s", c.name, passed, kind) })
 	if err != nil {
@@ -226,8 +229,16 @@
 		}
 	}
 	if seeker.IsHeld(c.clock()) && !c.isAsked[database] {
-		c.attend(database)
+		c.attends(database)
+	}
+}
+
+func (c *control) attends(database string) {
+	if c.fleet.lines != nil {
+		c.takeover(database)
+		return
 	}
+	c.attend(database)
 }
 
 func (c *control) attend(database string) {
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -101,6 +101,8 @@
 
 	isReplacing bool
 	isMended    bool
+
+	lines *lines
 }
 
 func (f *fleet) controlBy(name string) *control {
--- /dev/null
+++ b/proof/sim/lines_control.go
@@ -0,0 +1,287 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"tansyseam.example/pooler/coordination/epoch"
+	"tansyseam.example/pooler/coordination/failover"
+	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/state/table"
+	"tansyseam.example/pooler/state/view"
+)
+
+type episode struct {
+	term          uint64
+	phase, intent string
+	since         int64
+}
+
+func episodeOf(writer view.Writer) episode {
+	one := episode{term: writer.Term, phase: writer.Phase, intent: writer.Intent}
+	if writer.Phase == view.PhaseClosing {
+		one.since = writer.Since
+	}
+	return one
+}
+
+type look struct {
+	seen  takeover.Seen
+	at    time.Duration
+	isOut bool
+}
+
+type madeCall struct {
+	instance string
+	at       time.Duration
+	status   int
+}
+
+// evidence is what a control machine itself learned of a database.
+type evidence struct {
+	episode episode
+	looks   map[string]*look
+	calls   []*madeCall
+}
+
+func (e *evidence) turn(to episode) {
+	if e.episode == to {
+		return
+	}
+	e.episode, e.calls = to, nil
+	for _, one := range e.looks {
+		one.seen.IsAfter = false
+	}
+}
+
+func (c *control) evidenceOf(database string) *evidence {
+	held := c.evidence[database]
+	if held == nil {
+		held = &evidence{looks: map[string]*look{}}
+		c.evidence[database] = held
+	}
+	return held
+}
+
+func (c *control) heardNow() []steer.Heard {
+	var list []steer.Heard
+	for _, one := range c.fleet.lines.servers {
+		if heard, isHeard := c.heard[one.name]; isHeard {
+			list = append(list, heard)
+		}
+	}
+	return list
+}
+
+// takeover attends to a database as the holder of its duty.
+func (c *control) takeover(database string) {
+	primary := c.fleet.controlBy(c.epoch.Record().Primary)
+	if primary == nil {
+		return
+	}
+	c.isAsked[database] = true
+	c.do(400*time.Millisecond, func() { c.isAsked[database] = false })
+	c.world.send(&c.machine, &primary.machine, func() {
+		if !primary.isPrimary() {
+			return
+		}
+		at := primary.steer.Takeover(database, primary.heardNow(), primary.wallNow(), primary.clock())
+		c.world.send(&primary.machine, &c.machine, func() {
+			c.isAsked[database] = false
+			c.decideTakeover(primary, at)
+		})
+	})
+}
+
+func (c *control) show(at *takeover.Case) {
+	now := c.clock()
+	held := c.evidenceOf(at.Database)
+	held.turn(episodeOf(at.Writer))
+	at.Self, at.Seen = c.name, map[string]takeover.Seen{}
+	for name, one := range held.looks {
+		if one.at != 0 {
+			seen := one.seen
+			seen.Age = now - one.at
+			at.Seen[name] = seen
+		}
+	}
+	for _, call := range held.calls {
+		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
+	}
+}
+
+func (c *control) decideTakeover(primary *control, at takeover.Case) {
+	c.show(&at)
+	c.carryTakeover(primary, at, takeover.Step(at, takeover.DefaultTiming()))
+}
+
+func (c *control) carryTakeover(primary *control, at takeover.Case, effects []any) {
+	for rank, effect := range effects {
+		if record, isRecord := effect.(failover.Record); isRecord {
+			rest := effects[rank+1:]
+			c.recordTakeover(primary, at, record, func() { c.carryTakeover(primary, at, rest) })
+			return
+		}
+		if ask, isAsk := effect.(takeover.Ask); isAsk {
+			c.order(at, ask.Instance, ask.Address, 0)
+		}
+		if down, isDown := effect.(takeover.StepDown); isDown {
+			c.order(at, down.Instance, down.Address, down.Term)
+		}
+		if mark, isMark := effect.(takeover.Mark); isMark {
+			c.world.send(&c.machine, &primary.machine, func() {
+				if primary.isPrimary() {
+					primary.steer.Covers(mark)
+				}
+			})
+		}
+		if call, isCall := effect.(takeover.Promote); isCall {
+			c.call(call)
+		}
+	}
+}
+
+func (c *control) recordTakeover(primary *control, at takeover.Case, record failover.Record, then func()) {
+	if c.fleet.lines.defect.IsWorst && record.Writer.Phase == view.PhaseIntent {
+		record.Writer.Intent = c.worst(at)
+		then = func() {
+			c.call(takeover.Promote{Database: at.Database, Instance: record.Writer.Intent, Holder: record.Writer.Holder, Fence: record.Writer.Fence})
+		}
+	}
+	ask := steer.RecordCase{Before: at.Writer, IsKnown: at.IsKnown, After: record.Writer, What: record.What, Evidence: record.Evidence, By: c.name}
+	c.isAsked[at.Database] = true
+	c.do(2*time.Second, func() { c.isAsked[at.Database] = false })
+	c.world.send(&c.machine, &primary.machine, func() {
+		if !primary.isPrimary() {
+			return
+		}
+		isTaken := false
+		primary.submit(func(held *table.Table) []table.Put {
+			puts := steer.Record(held, ask, primary.wallNow())
+			isTaken = len(puts) > 0
+			return puts
+		}, func(done epoch.Answer) {
+			isKept := done.IsKept && isTaken
+			c.world.send(&primary.machine, &c.machine, func() {
+				c.isAsked[at.Database] = false
+				if isKept {
+					c.world.note("%s records %s: %s (%s)", c.name, at.Database, record.What, record.Evidence)
+					c.evidenceOf(at.Database).turn(episodeOf(record.Writer))
+					then()
+				}
+			})
+		})
+	})
+}
+
+func (c *control) worst(at takeover.Case) string {
+	name, least := "", view.Position{Term: 1 << 60}
+	for _, sight := range at.Sights {
+		seen := at.Seen[sight.Instance.Name]
+		if seen.IsAnswered && seen.Role == view.RoleReplica && seen.Position.IsBefore(least) {
+			name, least = sight.Instance.Name, seen.Position
+		}
+	}
+	return name
+}
+
+const orderWait = 400 * time.Millisecond
+
+// order asks an instance for its status, or orders it out of the writer role.
+func (c *control) order(at takeover.Case, instance, address string, term uint64) {
+	held := c.evidenceOf(at.Database)
+	one := held.looks[instance]
+	if one == nil {
+		one = &look{}
+		held.looks[instance] = one
+	}
+	if one.isOut {
+		return
+	}
+	one.isOut = true
+	asked := held.episode
+	isOver := false
+	over := func(seen takeover.Seen) {
+		if isOver {
+			return
+		}
+		isOver = true
+		seen.IsAfter = at.IsSettled && held.episode == asked && episodeOf(at.Writer) == asked
+		seen.Event, seen.Tenure = at.Event, at.Tenure
+		one.isOut, one.at, one.seen = false, c.clock(), seen
+	}
+	c.do(orderWait, func() { over(takeover.Seen{}) })
+	target := c.fleet.lines.hosts[address]
+	if !target.isUp && !target.isVanished {
+		c.do(3*time.Millisecond, func() { over(takeover.Seen{}) })
+		return
+	}
+	c.world.send(&c.machine, &target.machine, func() {
+		if term > 0 && target.name == instance {
+			target.stepDown(term, c.fleet.lines.head(at.Database))
+		}
+		seen := takeover.Seen{IsAnswered: true, Role: target.role, Term: target.term, Position: target.position()}
+		if target.name != instance {
+			seen = takeover.Seen{IsGone: true}
+		} else if len(target.line) > 12 || c.world.chance(0.05) {
+			seen = takeover.Seen{IsBusy: true}
+		}
+		c.world.send(&target.machine, &c.machine, func() { over(seen) })
+	})
+}
+
+const (
+	statusDone     = 200
+	statusConflict = 409
+	statusTooMany  = 429
+)
+
+// call makes the platform's one call.
+func (c *control) call(call takeover.Promote) {
+	l := c.fleet.lines
+	one := &madeCall{instance: call.Instance, at: c.clock()}
+	held := c.evidenceOf(call.Database)
+	held.calls = append(held.calls, one)
+	c.world.note("%s calls for %s to lead %s, fence %d", c.name, call.Instance, call.Database, call.Fence)
+	carry := func() {
+		status := l.promote(call)
+		c.world.note("the platform answers %d for %s", status, call.Instance)
+		c.world.send(&l.platform.machine, &c.machine, func() { one.status = status })
+	}
+	c.world.send(&c.machine, &l.platform.machine, func() {
+		if l.isCut {
+			return
+		}
+		l.platform.do(l.wait, carry)
+		if l.isDouble {
+			l.platform.do(l.wait+l.world.between(0, 2*time.Second), carry)
+		}
+	})
+}
+
+func (l *lines) promote(call takeover.Promote) int {
+	if l.refusals > 0 {
+		l.refusals--
+		return statusTooMany
+	}
+	if call.Fence < l.fences[call.Database] {
+		return statusConflict
+	}
+	l.fences[call.Database] = call.Fence
+	at := slices.IndexFunc(l.servers, func(one *server) bool { return one.name == call.Instance })
+	if at < 0 || !l.servers[at].isUp || l.servers[at].isEnded {
+		return statusConflict
+	}
+	target := l.servers[at]
+	if target.role == view.RolePrimary && target.term == l.leaders[call.Database] {
+		return statusDone
+	}
+	l.platform.do(l.world.between(200*time.Millisecond, 700*time.Millisecond), func() {
+		isLeading := target.role == view.RolePrimary && target.term == l.leaders[call.Database]
+		if target.isUp && !target.isEnded && !isLeading {
+			target.enter(target.life, func() { target.lead(l.leaders[call.Database] + 1) })
+		}
+	})
+	return statusDone
+}
--- /dev/null
+++ b/proof/sim/lines_test.go
@@ -0,0 +1,148 @@
+package sim
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func runManyLines(from, count uint64, size LineShape, defect LinePlant) []LineResult {
+	results := make([]LineResult, count)
+	slots := make(chan bool, 5)
+	var group sync.WaitGroup
+	for at := range count {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			slots <- true
+			results[at] = RunLines(from+at, size, defect, nil)
+			<-slots
+		}()
+	}
+	group.Wait()
+	return results
+}
+
+func shortLines() LineShape {
+	size := SmallLines()
+	size.Span = 10 * time.Second
+	return size
+}
+
+func TestLinesSameSeedSameHistory(t *testing.T) {
+	Convey("The same seed gives the same history of a fleet of synced instances, and another another", t, func() {
+		size := shortLines()
+		first, again, other := RunLines(3, size, LinePlant{}, nil), RunLines(3, size, LinePlant{}, nil), RunLines(4, size, LinePlant{}, nil)
+		So(first.Trace, ShouldEqual, again.Trace)
+		So(first.Trace, ShouldNotEqual, other.Trace)
+	})
+}
+
+func TestLinesFixedSeeds(t *testing.T) {
+	Convey("Without trouble all is served, and without a promise or a cut", t, func() {
+		size := shortLines()
+		size.Script = func(*lines) {}
+		result := RunLines(1, size, LinePlant{}, nil)
+		So(result.Faults, ShouldBeEmpty)
+		So(result.Codes, ShouldBeEmpty)
+		So(result.Terms, ShouldEqual, 1)
+		So(result.Served, ShouldBeGreaterThan, 1000)
+	})
+	Convey("Every rule holds under random troubles, by fixed seeds", t, func() {
+		count := uint64(24)
+		if isRace {
+			count = 4
+		}
+		terms := uint64(0)
+		for _, result := range runManyLines(1, count, SmallLines(), LinePlant{}) {
+			SoMsg(fmt.Sprintf("seed %d", result.Seed), result.Faults, ShouldBeEmpty)
+			So(result.Writes, ShouldBeGreaterThan, 300)
+			terms += result.Terms - 1
+		}
+		So(terms, ShouldBeGreaterThan, count/2)
+	})
+}
+
+func TestLinesPlantedDefects(t *testing.T) {
+	onlyWithoutRace(t)
+	with := func(longest time.Duration, only ...string) LineShape {
+		size := shortLines()
+		size.Only, size.Longest = only, longest
+		return size
+	}
+	cutOff := shortLines()
+	cutOff.Script = func(l *lines) {
+		lone := l.fronts[0]
+		for _, disk := range l.controls {
+			l.cut([2]string{lone.name, disk.name}, 9*time.Second)
+			l.cut([2]string{disk.name, lone.name}, 9*time.Second)
+		}
+		for _, other := range l.fronts[1:] {
+			l.cut([2]string{other.name, lone.name}, 9*time.Second)
+		}
+		old := l.head(l.databases[0])
+		for _, disk := range l.controls {
+			l.cut([2]string{old.name, disk.name}, 8*time.Second)
+			l.cut([2]string{disk.name, old.name}, 8*time.Second)
+		}
+		next, last := l.hosts["db1-b:1"], l.hosts["db1-c:1"]
+		last.delay = 60 * time.Millisecond
+		for _, way := range [][2]string{{next.name, last.name}, {last.name, next.name}, {next.name, old.name}} {
+			l.world.after(1500*time.Millisecond, func() { l.cut(way, 8*time.Second) })
+		}
+		l.world.after(time.Second, func() {
+			for _, one := range l.fronts[1:] {
+				for _, link := range one.links {
+					if link.server == old {
+						link.session.drop()
+						link.broken()
+					}
+				}
+			}
+			old.leaving = l.world.now
+			for _, disk := range l.controls {
+				disk.heardOf(old.info())
+			}
+			old.leaving = 0
+		})
+	}
+	defects := []struct {
+		name   string
+		defect LinePlant
+		rule   string
+		size   LineShape
+	}{
+		{"a node changes texts", LinePlant{IsTexting: true}, RuleUnasked, with(time.Second, "replica lag")},
+		{"a node mixes answers up", LinePlant{IsSwapping: true}, RuleMixed, with(time.Second, "replica lag")},
+		{"instances do not reset", LinePlant{IsUnclean: true}, RulePinned, with(time.Second, "replica lag")},
+		{"a node sends writes twice", LinePlant{IsDoubling: true}, RuleTwice, with(time.Second, "replica lag")},
+		{"a node promises what it does not know", LinePlant{IsPromising: true}, RuleRefused, with(time.Second, "answers lost", "connections reset")},
+		{"floors are lost", LinePlant{IsFloorless: true}, RuleStale, with(8*time.Second, "replica lag", "replica deaf")},
+		{"leases are too long", LinePlant{IsLeaseless: true}, RuleOne, cutOff},
+		{"the worst replica is promoted", LinePlant{IsWorst: true}, RuleLost, with(6*time.Second, "replica deaf, primary crash")},
+		{"nobody hears that an instance leaves", LinePlant{IsStubborn: true}, RuleDrain, with(time.Second, "instance leaving")},
+		{"leases are too long for a set that comes", LinePlant{IsLeaseless: true}, RuleConfig, with(9*time.Second, "node cut off")},
+		{"a planned stop ends sessions at once", LinePlant{IsHasty: true}, RuleLost, with(time.Second, "node stopped as planned")},
+		{"nodes that start again ask for nothing", LinePlant{IsDeaf: true}, RuleRecover, with(time.Second, "node kill")},
+	}
+	Convey("Each planted defect breaks its rule on some of a few seeds, and the same seeds pass without it", t, func() {
+		for _, one := range defects {
+			count, others := 0, map[string]int{}
+			for _, result := range runManyLines(1, 5, one.size, one.defect) {
+				if _, isBroken := result.Faults[one.rule]; isBroken {
+					count++
+				}
+				for rule := range result.Faults {
+					others[rule]++
+				}
+			}
+			So(fmt.Sprintf("%s: %v, broke %v", one.name, count > 0, others), ShouldStartWith, one.name+": true")
+			for _, result := range runManyLines(1, 2, one.size, LinePlant{}) {
+				SoMsg(one.name+": without", result.Faults, ShouldBeEmpty)
+			}
+		}
+	})
+}
