Leave alone what went out in the new term while the old one is being given up

Cause: giving up a term's reads lets its lines move; where the same primary leads the next term, a begin that went out so was aborted in the same moment. Test seen failing first (TestStorms, seed 11769: sent and shut at once). Change: what bears the new term stays.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -204,13 +204,14 @@
 		return
 	}
 	for _, j := range slices.Clone(one.out) {
-		if j.phase == phaseOut && j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
+		if j.phase == phaseOut && (moved.After.Phase != view.PhaseOpen || j.term != moved.After.Term) && j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
 			m.again(j, now)
 		}
 	}
 	for _, conn := range slices.Clone(old.conns) {
 		owner := conn.owner
-		if owner == nil || owner.turn == nil || owner.turn.isRead {
+		isNew := moved.After.Phase == view.PhaseOpen && conn.term == moved.After.Term
+		if owner == nil || owner.turn == nil || owner.turn.isRead || isNew {
 			continue
 		}
 		if j := owner.job; j != nil && j.isCommit && j.isSent() {
--- a/pooler/coordination/pool/random_test.go
+++ b/pooler/coordination/pool/random_test.go
@@ -527,7 +527,7 @@
 func TestStorms(t *testing.T) {
 	Convey("Under random events, by fixed seeds, nothing is miscounted, mixed, leaked, answered twice or never", t, func() {
 		said := 0
-		seeds := []uint64{10165, 1915, 1997, 2055, 2597, 3267, 3510, 3808, 3927}
+		seeds := []uint64{11769, 10165, 1915, 1997, 2055, 2597, 3267, 3510, 3808, 3927}
 		for seed := range uint64(40) {
 			seeds = append(seeds, seed)
 		}
