Tell commits kept that are answered before the node says that it dropped the term

Cause: the node waits up to 150 ms with its word that it knows of the closing, for commits that are out; but their answers were told as unknown all the same, since the term was no longer open. Ruled out: waiting on after that word. Change: until the next ask a commit of the closing term is told kept under the lease; its position goes with that ask, and no position of a replica is taken before it.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -67,6 +67,9 @@
 	told := m.Told(now)
 	ask.Reports, ask.Highs = told.Reports, told.Highs
 	ask.Roll, ask.Birth = m.roll, m.place.Birth
+	for _, one := range m.bases {
+		one.isDropped = one.closedAt != 0
+	}
 	return ask
 }
 
@@ -191,7 +194,7 @@
 func (m *Machine) onMoved(one *base, moved serve.Moved, now time.Duration) {
 	m.count("writer_moves", 1)
 	if moved.After.Phase == view.PhaseOpen {
-		one.closedAt = 0
+		one.closedAt, one.isDropped = 0, false
 		if moved.Before.Term != moved.After.Term {
 			one.samples = nil
 		}
@@ -203,15 +206,16 @@
 	if !isFenced {
 		return
 	}
+	isOld := func(term uint64) bool { return moved.After.Phase != view.PhaseOpen || term != moved.After.Term }
 	for _, j := range slices.Clone(one.out) {
-		if j.phase == phaseOut && (moved.After.Phase != view.PhaseOpen || j.term != moved.After.Term) && j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
+		isRead := j.phase == phaseOut && j.isFree() && j.isStrict && len(j.legs) > 0
+		if isRead && isOld(j.term) && j.legs[0].conn.back == old {
 			m.again(j, now)
 		}
 	}
 	for _, conn := range slices.Clone(old.conns) {
 		owner := conn.owner
-		isNew := moved.After.Phase == view.PhaseOpen && conn.term == moved.After.Term
-		if owner == nil || owner.turn == nil || owner.turn.isRead || isNew {
+		if owner == nil || owner.turn == nil || owner.turn.isRead || !isOld(conn.term) {
 			continue
 		}
 		if j := owner.job; j != nil && j.isCommit && j.isSent() {
@@ -602,16 +606,19 @@
 }
 
 // settleConfirms tells commits that ran, while the lease is held and the term
-// in which they ran is open.
+// in which they ran is open, or is closing and the node has not yet told that
+// it knows: until then nothing else is promoted, and the positions that are
+// asked for after cover what is told now.
 func (m *Machine) settleConfirms(one *base, now time.Duration) {
 	for _, j := range slices.Clone(one.confirms) {
 		writer := m.serve.Writer(one.name)
-		isOver := writer.Term != j.term || writer.Phase != view.PhaseOpen
+		isClosing := writer.Phase == view.PhaseClosing && !one.isDropped
+		isOver := writer.Term != j.term || (writer.Phase != view.PhaseOpen && !isClosing)
 		if isOver {
 			m.unsure(j, "it ran on a primary that has since lost the writer role", now)
 			continue
 		}
-		if !m.serve.MayWrite(one.name, j.term, now) {
+		if !m.serve.IsLeased(now) {
 			continue
 		}
 		one.high = one.high.Later(j.position)
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -306,6 +306,9 @@
 	samples  []sample
 	high     view.Position
 	closedAt time.Duration
+	// isDropped says that the control primary may have been told that nothing
+	// is told kept any more in the term that is closing.
+	isDropped bool
 }
 
 type sizeAt struct {
