--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -545,6 +545,54 @@
 			So(r.heard(c), ShouldEqual, "ERROR UNKNOWN / READY I")
 			So(r.sound(), ShouldEqual, "")
 		})
+		Convey("A "+way.name+" answered in a closing term is told kept until the node says that it dropped the term, and its position goes along", t, func() {
+			r := newRig(20)
+			c := r.client("strict")
+			send := way.ask(r, c)
+			r.role(view.PhaseClosing, "a", 3)
+			r.high = 150
+			r.answer(send, stream.StateIdle, ok("k"))
+			So(r.heard(c), ShouldEqual, "DONE k / READY I")
+			So(r.IsSettling(r.now), ShouldBeFalse)
+			So(r.Ask(r.now).Highs["x"], ShouldResemble, view.Position{Term: 3, Index: 150})
+			So(r.sound(), ShouldEqual, "")
+		})
+		Convey("A "+way.name+" answered in a closing term after that word is unknown", t, func() {
+			r := newRig(20)
+			c := r.client("strict")
+			send := way.ask(r, c)
+			r.role(view.PhaseClosing, "a", 3)
+			r.Ask(r.now)
+			r.answer(send, stream.StateIdle, ok("k"))
+			So(r.heard(c), ShouldEqual, "ERROR UNKNOWN / READY I")
+			So(r.sound(), ShouldEqual, "")
+		})
+		Convey("A "+way.name+" answered in a closing term without a lease is held, and unknown once that word is given", t, func() {
+			r := newRig(20)
+			c := r.client("strict")
+			send := way.ask(r, c)
+			before := r.answers(c)
+			r.doc.Writers["x"] = view.Writer{Database: "x", Term: 3, Primary: "a", Phase: view.PhaseClosing, IsSynced: true}
+			r.news(100 * time.Millisecond)
+			r.pass(1650 * time.Millisecond)
+			if !send.Conn.IsOver() {
+				r.answer(send, stream.StateIdle, ok("k"))
+				So(r.answers(c), ShouldEqual, before)
+			}
+			r.Ask(r.now)
+			r.pass(time.Millisecond)
+			So(r.heard(c), ShouldEqual, "ERROR UNKNOWN / READY I")
+		})
+		Convey("A "+way.name+" answered in a term whose promotion is intended is unknown", t, func() {
+			r := newRig(20)
+			c := r.client("strict")
+			send := way.ask(r, c)
+			r.role(view.PhaseIntent, "a", 3)
+			if !send.Conn.IsOver() {
+				r.answer(send, stream.StateIdle, ok("k"))
+			}
+			So(r.heard(c), ShouldEqual, "ERROR UNKNOWN / READY I")
+		})
 		Convey("A "+way.name+" that the instance refuses is told as it was refused, also when the term is closing", t, func() {
 			r := newRig(20)
 			c := r.client("strict")
