--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -35,6 +35,13 @@
 	Inside time.Duration
 	// RestFirst and RestMost bound the rest after a connection was refused.
 	RestFirst, RestMost time.Duration
+	// Pause is how long a statement that was refused waits, for each time that
+	// it was, and Tries how often it may be put back.
+	Pause time.Duration
+	Tries int
+	// Leaving is how long an instance that leaves is still sent what must go
+	// there: statements of open transactions, and all that needs the primary.
+	Leaving time.Duration
 	// Lagging is how long a replica that lagged is passed over.
 	Lagging time.Duration
 	// Caught is the age from which a session's own commit is taken to have
@@ -57,7 +64,8 @@
 	return Timing{
 		Timeout: 5 * time.Second, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
-		Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
+		Pause: 20 * time.Millisecond, Tries: 8,
+		Leaving: 5 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
 		Linger: 2300 * time.Millisecond, Turns: 2900 * time.Millisecond, Finish: 5400 * time.Millisecond,
 		Line: 4096, Clients: 3000, Inbox: 16, Shapes: 200, Reference: 200 * time.Millisecond,
 	}
@@ -141,7 +149,7 @@
 	turn     *turn
 	job      *Job
 	inbox    []Asked
-	came     time.Duration
+	rank     uint64
 	used     time.Duration
 	isMet    bool
 	isGone   bool
@@ -157,8 +165,9 @@
 	binding view.Binding
 	isRead  bool
 	isLost  bool
-	conn    *Conn
-	came    time.Duration
+	// hasWrites says that a write was passed on, if only to be refused.
+	hasWrites bool
+	conn      *Conn
 }
 
 // Asked is one query of a client.
@@ -193,6 +202,7 @@
 	legs     []*leg
 	isTwin   bool
 	tries    int
+	restAt   time.Duration
 	term     uint64
 	floor    view.Position
 	answer   []stream.Message
@@ -201,7 +211,7 @@
 
 // mayLast says whether the statement, once run, may keep something for good.
 func (j *Job) mayLast() bool {
-	return (j.isCommit && !j.turn.isRead) || (j.isWrite && j.turn == nil)
+	return (j.isCommit && (!j.turn.isRead || j.turn.hasWrites)) || (j.isWrite && j.turn == nil)
 }
 
 // isSent says whether the statement itself has been passed on.
@@ -296,6 +306,9 @@
 	samples  []sample
 	high     view.Position
 	closedAt time.Duration
+	// isDropped says that the control primary may have been told that nothing
+	// is told kept any more in the term that is closing.
+	isDropped bool
 }
 
 type sizeAt struct {
@@ -317,6 +330,7 @@
 	clients   map[*Client]bool
 	leaseless []*Job
 	guests    []*Client
+	ranks     uint64
 	roll      steer.Roll
 	peers     int
 	sizes     []sizeAt
@@ -375,6 +389,11 @@
 	return writer, target, writer.Phase == view.PhaseOpen && target != nil && !target.info.IsGone
 }
 
+func (m *Machine) isHead(held *back) bool {
+	_, target, isOpen := m.writer(m.baseOf(held))
+	return isOpen && target == held
+}
+
 // Ready says whether the node may be given sessions, and why not.
 func (m *Machine) Ready(now time.Duration) (bool, string) {
 	checks := []struct {
