--- a/pooler/transport/wire/wire.go
+++ b/pooler/transport/wire/wire.go
@@ -34,6 +34,7 @@
 	handler Handler
 	rest    []byte
 	longest int
+	isEnded bool
 }
 
 // Write sends bytes; what the network does not take now follows later, in
@@ -55,10 +56,38 @@
 	mutex   sync.Mutex
 }
 
+type ended struct{ err error }
+
+// put joins a connection to the engine's; one that has ended meanwhile is
+// told so.
 func (e *Engine) put(raw *nbio.Conn, conn *Conn) {
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	raw.SetSession(conn)
+	over, isOver := raw.Session().(ended)
+	conn.isEnded = isOver
+	if !isOver {
+		raw.SetSession(conn)
+	}
+	e.mutex.Unlock()
+	if isOver {
+		conn.handler.Ended(over.err)
+	}
+}
+
+// end tells the end of a connection once, even where it comes before the
+// connection was joined.
+func (e *Engine) end(raw *nbio.Conn, err error) {
+	e.mutex.Lock()
+	conn, isJoined := raw.Session().(*Conn)
+	isTold := isJoined && conn.isEnded
+	if isJoined {
+		conn.isEnded = true
+	} else {
+		raw.SetSession(ended{err})
+	}
+	e.mutex.Unlock()
+	if isJoined && !isTold {
+		conn.handler.Ended(err)
+	}
 }
 
 func (e *Engine) get(raw *nbio.Conn) *Conn {
@@ -89,11 +118,7 @@
 			conn.onData(data)
 		}
 	})
-	e.engine.OnClose(func(raw *nbio.Conn, err error) {
-		if conn := e.get(raw); conn != nil {
-			conn.handler.Ended(err)
-		}
-	})
+	e.engine.OnClose(e.end)
 	return e
 }
 
@@ -130,6 +155,7 @@
 		e.put(raw, conn)
 		up(conn)
 		if _, err := e.engine.AddConn(raw); err != nil {
+			e.end(raw, err)
 			return
 		}
 		if len(first) > 0 {
@@ -150,7 +176,7 @@
 	var lines [][]byte
 	for {
 		at := bytes.IndexByte(data, '\n')
-		if at < 0 {
+		if at < 0 || at > c.longest {
 			break
 		}
 		lines = append(lines, bytes.TrimSuffix(data[:at], []byte{'\r'}))
