--- a/test.sh
+++ b/test.sh
@@ -3,14 +3,14 @@
 # seeds, then a bounded run of a fleet of real processes.
 set -euo pipefail
 cd "$(dirname "$0")"
-unformatted=$(gofmt -l pooler proof)
+unformatted=$(gofmt -l platform pooler proof)
 if [ -n "$unformatted" ]; then
   printf 'not formatted:\n%s\n' "$unformatted"
   exit 1
 fi
-for module in pooler proof; do
+for module in platform pooler proof; do
   (cd "$module" && go vet ./... && go build ./...)
 done
-go test -race -count=1 -timeout 10m ./pooler/... ./proof/...
+go test -race -count=1 -timeout 10m ./platform/... ./pooler/... ./proof/...
 go test -count=1 -timeout 10m ./proof/sim
 go run ./proof/cmd/prove -race -shape small -run calls,change,restart,primary-crash,primary-dark,control-kill,lose,settings,planted-kill,planted-unclean
