Run the programs among stand-ins that speak the users' platform's wire

Cause: the pool, the line sessions, the takeover and the platform's folder had run among no stand-ins of the project's own. Ruled out: separate processes for the stand-ins: in one process they share a clock, and write one history. Change: proof/lines holds services of instances (terms, replication with lag, one replica's receipt before an answer, slots, caps, orders, drains, beats), the promote call with fences, an operator and clients that try again by the promises; proof/trial fills deploy's templates, starts the programs on loopback, brings about one fault and checks the history; prove -manner platform runs them.

--- a/proof/cmd/prove/main.go
+++ b/proof/cmd/prove/main.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"tansyseam.example/proof/fleet"
+	"tansyseam.example/proof/trial"
 )
 
 func main() {
@@ -25,7 +27,14 @@
 	scale := flag.Float64("scale", 1, "part of the deployment's load")
 	isRace := flag.Bool("race", false, "build the programs with the race detector")
 	isList := flag.Bool("list", false, "list the scenarios")
+	manner := flag.String("manner", "", "platform, for the scenarios in the manner of the users' platform")
 	flag.Parse()
+	if *isList && *manner != "" {
+		for _, scenario := range trial.Scenarios() {
+			fmt.Printf("%-15s %s\n", scenario.Name, scenario.About)
+		}
+		return 0
+	}
 	if *isList {
 		for _, scenario := range fleet.Scenarios() {
 			fmt.Printf("%-14s %s\n", scenario.Name, scenario.About)
@@ -52,6 +61,9 @@
 		return 1
 	}
 	wanted := strings.Split(*names, ",")
+	if *manner != "" {
+		return tryAll(wanted, *root, bin, folder, *seed)
+	}
 	broken, played := 0, 0
 	for _, scenario := range fleet.Scenarios() {
 		isWanted := *names == "all"
@@ -83,3 +95,27 @@
 	}
 	return 0
 }
+
+func tryAll(wanted []string, root, bin, folder string, seed uint64) int {
+	broken, played := 0, 0
+	for _, scenario := range trial.Scenarios() {
+		if !slices.Contains(wanted, "all") && !slices.Contains(wanted, scenario.Name) {
+			continue
+		}
+		played++
+		result, err := trial.Play(scenario, root, bin, filepath.Join(folder, scenario.Name), seed)
+		if err != nil {
+			fmt.Printf("%s: could not be played: %v\n", scenario.Name, err)
+			broken++
+			continue
+		}
+		result.Print(os.Stdout)
+		broken += min(len(result.Faults), 1)
+	}
+	if played < len(wanted) && !slices.Contains(wanted, "all") {
+		fmt.Fprintln(os.Stderr, "not all of these are scenarios; see -list")
+		return 2
+	}
+	fmt.Println("logs are in", folder)
+	return min(broken, 1)
+}
--- /dev/null
+++ b/proof/trial/fill_test.go
@@ -0,0 +1,38 @@
+package trial
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFill(t *testing.T) {
+	fields := map[string]any{
+		"node_name": "n", "zone": "z", "ip": "127.0.0.1", "internal_ports": []any{7440, 7455}, "data_path": "/d", "bootstrap": true,
+		"listen": map[string]any{"admin": "127.0.0.1:1", "readiness": "127.0.0.1:2", "sessions": "127.0.0.1:3"}, "survive": map[string]any{"machines": 1},
+		"cloud_api": map[string]any{"address": "127.0.0.1:4"}, "seed_nodes": []any{"127.0.0.1:5"},
+	}
+	Convey("Gaps are filled by path, plain and as JSON", t, func() {
+		text, err := Fill(`{{ip}}:{{internal_ports.1}} {{ip|json}} {{seed_nodes|json}} {{bootstrap}}`, fields)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, `127.0.0.1:7455 "127.0.0.1" ["127.0.0.1:5"] true`)
+	})
+	Convey("A gap without a field is told", t, func() {
+		for _, text := range []string{"{{other}}", "{{listen.other}}", "{{seed_nodes.1}}", "{{ip.a}}"} {
+			_, err := Fill(text, fields)
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("The project's own templates are filled to settings", t, func() {
+		for _, name := range []string{"seamd", "seamc"} {
+			data, err := os.ReadFile(filepath.Join("..", "..", "deploy", name+".json.tmpl"))
+			So(err, ShouldBeNil)
+			text, err := Fill(string(data), fields)
+			So(err, ShouldBeNil)
+			So(json.Valid([]byte(text)), ShouldBeTrue)
+		}
+	})
+}
--- /dev/null
+++ b/proof/trial/scenarios.go
@@ -0,0 +1,169 @@
+package trial
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"tansyseam.example/pooler/transport/run"
+	"tansyseam.example/proof/fleet"
+	"tansyseam.example/proof/lines"
+)
+
+// Scenario brings about one fault, or one change, under load.
+type Scenario struct {
+	Name, About string
+	Act         func(*Trial)
+	// IsCalm says that nothing but planned work happens.
+	IsCalm bool
+}
+
+// Scenarios lists them all.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", About: "load, and no trouble", IsCalm: true, Act: func(t *Trial) {
+			t.Hold(4 * time.Second)
+			if count := len(t.Platform.Calls()); count != 0 {
+				t.Miss("%d promote calls without a cause", count)
+			}
+		}},
+		{Name: "primary-crash", About: "a primary crashes, and returns with its log", Act: func(t *Trial) {
+			t.failover(func(old *lines.Instance) { old.Crash() }, func(old *lines.Instance) { _ = old.Start() })
+		}},
+		{Name: "primary-dark", About: "a primary goes dark, for good", Act: func(t *Trial) {
+			t.failover(func(old *lines.Instance) { old.Dark() }, func(*lines.Instance) {})
+		}},
+		{Name: "promote-trouble", About: "a primary crashes while the platform refuses and is slow", Act: func(t *Trial) {
+			t.Platform.Misbehave(400*time.Millisecond, 3, false)
+			t.failover(func(old *lines.Instance) { old.Crash() }, func(old *lines.Instance) { _ = old.Start() })
+		}},
+		{Name: "replace", About: "a primary is to be replaced: it drains, leaves and ends", IsCalm: true, Act: actReplace},
+		{Name: "stop", About: "a node stopped by SIGTERM, and started again", IsCalm: true, Act: actStop},
+		{Name: "control-kill", About: "the control primary killed, back later", Act: actControlKill},
+		{Name: "change", About: "configurations changed, racing, old and broken", IsCalm: true, Act: actChange},
+		{Name: "lose", About: "answers lost after running, and statements refused as busy", Act: func(t *Trial) {
+			for range 4 {
+				for _, one := range t.Services[0].Instances() {
+					one.Lose(3)
+					one.Refuse(3)
+				}
+				t.Hold(500 * time.Millisecond)
+			}
+		}},
+	}
+}
+
+func (t *Trial) failover(hit, back func(old *lines.Instance)) {
+	service := t.Services[0]
+	old := service.Primary()
+	began := t.crew.Now()
+	hit(old)
+	if !fleet.Until(15*time.Second, func() bool { return service.Primary() != old }) {
+		t.Miss("no other primary within 15 s")
+		return
+	}
+	t.Note("%s is primary after %d ms", service.Primary().ID, (t.crew.Now() - began).Milliseconds())
+	t.Await("after the promote", 15*time.Second)
+	back(old)
+	t.Hold(2 * time.Second)
+	if service.Primary() == old {
+		t.Miss("%s is primary again", old.ID)
+	}
+}
+
+func actReplace(t *Trial) {
+	service := t.Services[0]
+	old := service.Primary()
+	began := t.crew.Now()
+	old.Drain()
+	if !fleet.Until(5*time.Second, func() bool { return old.Left() != 0 }) {
+		t.Miss("the leaving was not acknowledged within 5 s")
+	}
+	if !fleet.Until(15*time.Second, func() bool { return service.Primary() != old }) {
+		t.Miss("no other primary within 15 s")
+		return
+	}
+	t.Note("%s is primary after %d ms", service.Primary().ID, (t.crew.Now() - began).Milliseconds())
+	t.Hold(8 * time.Second)
+	if status := old.Leave(); status != http.StatusOK {
+		t.Miss("the leave was answered %d", status)
+	}
+	t.Hold(time.Second)
+}
+
+func actStop(t *Trial) {
+	front := t.Fronts[0]
+	front.Signal(syscall.SIGTERM)
+	if !front.Ended(8 * time.Second) {
+		t.Miss("%s did not end within 8 s", front.Name)
+		front.Kill()
+	}
+	if front.Code() != 0 {
+		t.Miss("%s ended with code %d", front.Name, front.Code())
+	}
+	if err := front.Start(t.folder); err != nil {
+		t.Miss("%v", err)
+	}
+	if !fleet.Until(10*time.Second, func() bool { return t.Platform.Ready() == len(t.Fronts) }) {
+		t.Miss("%s is not ready again", front.Name)
+	}
+}
+
+func actControlKill(t *Trial) {
+	old := t.Control()
+	if old == nil {
+		t.Miss("no control primary")
+		return
+	}
+	t.Change(t.Routes(), 0)
+	old.Kill()
+	began := t.crew.Now()
+	t.Change(t.Routes(), 0)
+	t.Note("a change is taken %d ms after the kill of %s", (t.crew.Now() - began).Milliseconds(), old.Name)
+	t.Await("without "+old.Name, 10*time.Second)
+	if err := old.Start(t.folder); err != nil {
+		t.Miss("%v", err)
+	}
+	t.Hold(2 * time.Second)
+	t.Change(t.Routes(), 1)
+}
+
+func actChange(t *Trial) {
+	routes := t.Routes()
+	t.Change(append(t.Routes(), lines.Route{Host: "extra", Kind: "primary", Service: "db2", Timeout: time.Second, Target: time.Second}), 0)
+	racing := make(chan int, 2)
+	for at := range 2 {
+		t.crew.Go(func() { racing <- t.Operator.Replace(t.version+uint64(1+at), routes, at) })
+	}
+	for range 2 {
+		bound := time.NewTimer(20 * time.Second)
+		status, isOne := run.Take(racing, bound.C)
+		bound.Stop()
+		if !isOne || status != http.StatusOK {
+			t.Miss("one of two racing versions was answered %d", status)
+		}
+	}
+	t.version += 2
+	if status := t.Operator.Replace(t.version-1, append(routes, lines.Route{Host: "late", Kind: "primary", Service: "db1", Timeout: time.Second}), 2); status != http.StatusOK {
+		t.Miss("an old version was answered %d, which wants an acknowledgement", status)
+	}
+	broken := map[string]string{
+		"cut short":             t.Operator.Body(t.version+9, routes)[:100],
+		"nothing":               "{}",
+		"no routes":             `{"version":999}`,
+		"an unknown service":    t.Operator.Body(t.version+9, append(routes, lines.Route{Host: "x", Kind: "primary", Service: "nowhere", Timeout: time.Second})),
+		"a host twice":          t.Operator.Body(t.version+9, append(routes, routes[0])),
+		"no time":               t.Operator.Body(t.version+9, append(routes, lines.Route{Host: "x", Kind: "primary", Service: "db1"})),
+		"a version that is bad": `{"version":"9","routes":[],"services":[],"limits":{}}`,
+	}
+	for what, body := range broken {
+		if status := t.Operator.Break(t.version+9, body, 0); status/100 != 4 {
+			t.Miss("a configuration with %s was answered %d", what, status)
+		}
+	}
+	t.Hold(4 * time.Second)
+	t.Change(routes[1:], 1)
+	t.Hold(4 * time.Second)
+	t.Change(routes, 2)
+	t.Hold(4 * time.Second)
+}
