Let a primary that comes back publish no write that its backup may lack

The control primary c1 had written set 9, its backup c3 was down; c1 stood for an epoch without c3, its disk was full and it ended. Back in the same epoch, it held primacy again, with the copy on its disk, and published it: set 9, which c3 never had. It froze, c3 took over, in step as far as anyone knew, and gave number 9 to another set. A taken set was lost.

Cause: the machine took the copy on disk for safe. It knew of epochs it had stood for, but here the ballot was the very file that could not be synced.

Change: a copy whose last write is of the epoch that names this machine and a backup may be ahead of that backup. Until an epoch without the backup is won (which the machine stands for as soon as a majority grants it primacy), it says that it is not primary: no leases, no writes, nothing published. The price is one ballot, and the backup brought in again, when the control primary is restarted. Weighed: marking on disk what the backup has confirmed costs a sync for each write.

The unit test fails without the change (true for not primary, c2 for none).

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -247,6 +247,7 @@
 	started     time.Duration
 	isLost      bool
 	isUnsettled bool
+	isAhead     bool
 
 	life    int64
 	wall    int64
@@ -296,6 +297,8 @@
 	}
 	m.safe = m.copy
 	m.isUnsettled = m.ballots.Voter.Promised.Name == self
+	decided := m.ballots.Decided
+	m.isAhead = decided.Primary == self && decided.Backup != "" && m.copy.Stamp.Epoch == decided.Epoch
 	m.isLost = saved.Identity == nil || (saved.Identity.IsFormed && (saved.Ballots == nil || saved.IsUnsound))
 	m.asked = -timing.Form
 	return m
@@ -331,13 +334,19 @@
 	return m.identity.Cluster
 }
 
-// IsPrimary says whether primacy is held at this moment.
-func (m *Machine) IsPrimary(now time.Duration) bool {
-	return m.isNamed() && now < m.primacy
-}
+// IsPrimary says whether primacy is held at this moment, with a copy that is
+// safe to publish.
+func (m *Machine) IsPrimary(now time.Duration) bool { return m.hasPrimacy(now) && !m.isAhead }
+
+func (m *Machine) hasPrimacy(now time.Duration) bool { return m.isNamed() && now < m.primacy }
 
 // Primacy gives the moment until which primacy is held.
-func (m *Machine) Primacy() time.Duration { return m.primacy }
+func (m *Machine) Primacy() time.Duration {
+	if m.isAhead {
+		return 0
+	}
+	return m.primacy
+}
 
 // IsLost says whether the machine has lost its disk and not yet been told
 // where things stand.
@@ -370,7 +379,7 @@
 	}
 	slices.Sort(offsets)
 	median := offsets[(len(offsets)-1)/2]
-	if !m.IsPrimary(now) {
+	if !m.hasPrimacy(now) {
 		m.offset = median
 		m.isSure = len(offsets) > 2 || (len(offsets) == 2 && offsets[1]-offsets[0] < int64(clockTrip))
 		return
@@ -462,11 +471,11 @@
 		return
 	}
 	decided := m.ballots.Decided
-	if m.isUnsettled {
-		if now >= m.waitUntil && m.IsPrimary(now) {
+	if m.isUnsettled || m.isAhead {
+		if now >= m.waitUntil && m.hasPrimacy(now) {
 			m.propose(Record{Epoch: decided.Epoch + 1, Primary: m.self}, now)
 		}
-		if m.round != nil || m.IsPrimary(now) {
+		if m.round != nil || m.hasPrimacy(now) {
 			return
 		}
 	}
@@ -474,8 +483,12 @@
 		m.dropBackup(now, "backup silent")
 		return
 	}
-	if !m.IsPrimary(now) && now-m.started > m.timing.Primacy && now >= m.waitUntil && len(m.refusedBy(now)) > 0 {
-		m.propose(Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: decided.Backup}, now)
+	if !m.hasPrimacy(now) && now-m.started > m.timing.Primacy && now >= m.waitUntil && len(m.refusedBy(now)) > 0 {
+		next := Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: decided.Backup}
+		if m.isAhead {
+			next.Backup = ""
+		}
+		m.propose(next, now)
 		return
 	}
 	if decided.Backup == "" && m.IsPrimary(now) {
@@ -545,7 +558,7 @@
 	if len(sent) < need {
 		return
 	}
-	if !m.IsPrimary(now) {
+	if !m.hasPrimacy(now) {
 		m.setClock(now)
 	}
 	slices.Sort(sent)
--- a/pooler/coordination/epoch/epoch_test.go
+++ b/pooler/coordination/epoch/epoch_test.go
@@ -69,3 +69,68 @@
 		So(primary.Wall(later), ShouldBeBetween, wall+int64(later-now), wall+int64(later-now)+int64(2*time.Millisecond))
 	})
 }
+
+func TestPrimaryThatComesBackAheadOfItsBackup(t *testing.T) {
+	const wall = int64(1_700_000_000_000_000_000)
+	voters := []string{"c1", "c2", "c3"}
+	back := func(record Record, written uint64, now time.Duration) *Machine {
+		copied := table.New()
+		copied.Apply(table.Stamp{Epoch: written, Sequence: 9}, []table.Put{{Key: "set", Data: []byte("x")}})
+		return New("c1", len(voters), DefaultTiming(), Saved{
+			Identity: &Identity{Cluster: "x", Self: "c1", Voters: voters, IsFormed: true},
+			Ballots:  &Ballots{Sequence: 1, Decided: record}, Table: copied,
+		}, now)
+	}
+	renew := func(m *Machine, now time.Duration) []Effect {
+		effects := m.Step(Tick{Wall: wall}, now)
+		ack := RenewAck{Decided: m.Record(), Sent: now, Life: m.life, Wall: wall, IsGranted: true}
+		effects = append(effects, m.Step(Heard{From: "c3", Body: ack}, now)...)
+		return append(effects, m.Step(Tick{Wall: wall}, now+20*time.Millisecond)...)
+	}
+	preparesOf := func(effects []Effect) []Prepare {
+		var list []Prepare
+		for _, effect := range effects {
+			if send, isSend := effect.(Send); isSend {
+				if prepare, isPrepare := send.Body.(Prepare); isPrepare {
+					list = append(list, prepare)
+				}
+			}
+		}
+		return list
+	}
+	now := time.Hour
+	Convey("What a primary wrote last before it ended may be on no backup: it is published only once an epoch without one is won", t, func() {
+		m := back(Record{Epoch: 4, Primary: "c1", Backup: "c2"}, 4, now)
+		asked := preparesOf(renew(m, now))
+		now := now + 20*time.Millisecond
+		So(m.IsPrimary(now), ShouldBeFalse)
+		So(m.Primacy(), ShouldBeLessThan, now)
+		So(len(asked), ShouldEqual, 2)
+		promised := Promised{Epoch: 5, Number: asked[0].Number, IsGiven: true, Decided: m.Record()}
+		m.Step(Heard{From: "c3", Body: promised}, now)
+		m.Step(Heard{From: "c3", Body: Accepted{Epoch: 5, Number: asked[0].Number}}, now)
+		So(m.Record(), ShouldResemble, Record{Epoch: 5, Primary: "c1"})
+		renew(m, now+100*time.Millisecond)
+		So(m.IsPrimary(now+120*time.Millisecond), ShouldBeTrue)
+		So(m.Table().Records, ShouldContainKey, "set")
+	})
+	Convey("Nor does it stand for an epoch that keeps the backup while a voter refuses it", t, func() {
+		m := back(Record{Epoch: 4, Primary: "c1", Backup: "c2"}, 4, now)
+		later := now + time.Second
+		m.Step(Tick{Wall: wall}, later)
+		m.Step(Heard{From: "c3", Body: RenewAck{Decided: m.Record(), Sent: later, Life: m.life, Wall: wall}}, later)
+		m.Step(Tick{Wall: wall}, later+20*time.Millisecond)
+		So(m.round, ShouldNotBeNil)
+		var stood Record
+		So(table.Decode(m.round.Value, &stood), ShouldBeNil)
+		So(stood, ShouldResemble, Record{Epoch: 5, Primary: "c1"})
+	})
+	Convey("With nothing written in its epoch, or no backup in it, it goes on at once", t, func() {
+		for _, m := range []*Machine{
+			back(Record{Epoch: 4, Primary: "c1", Backup: "c2"}, 3, now), back(Record{Epoch: 4, Primary: "c1"}, 4, now),
+		} {
+			renew(m, now)
+			So(m.IsPrimary(now+20*time.Millisecond), ShouldBeTrue)
+		}
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -216,6 +216,7 @@
 	m.saveBallots()
 	m.isLost = m.isLost && (record.Primary == m.self || record.Backup == m.self)
 	m.isUnsettled = false
+	m.isAhead = m.isAhead && record.Primary == m.self && record.Backup != ""
 	m.round, m.repairing = nil, nil
 	clear(m.grantsBy)
 	m.grantTo, m.grantAt = record.Primary, now
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -63,6 +63,7 @@
 		shape Shape
 	}{
 		{"an intent was given up for a position told before it", 7000138, Magnolia()},
+		{"a control primary that came back published a write that its backup had not", 7000103, Magnolia()},
 	}
 	Convey("Seeds on which a rule was broken once break none", t, func() {
 		for _, one := range seeds {
