Take an instance's place only from a look since the intent, never from late news

A node frozen for 3.9 s woke, read announcements that had waited all that time, and reported the position of before the freeze as new.

Ruled out: a node's own looks (each counts from when it was sent); the record of the promotion (the instance stood in term 2 with all that was confirmed).

Change: a place is as old as the look that asked for it; an announcement or the control primary's own hearing gives it no age to go by, so an intent is never given up for one. A late announcement no longer takes back the position that a node reports. Which node's view of an instance is shown still goes by who heard of its place last.

The new unit tests of serve and steer fail without it.

--- a/pooler/coordination/failover/failover.go
+++ b/pooler/coordination/failover/failover.go
@@ -18,7 +18,7 @@
 	Instance view.Instance
 	// Heard is how long ago any node heard it announce or had an answer.
 	Heard time.Duration
-	// Placed is how long ago it told the role, term and position shown.
+	// Placed is how long ago it was asked for the place shown.
 	Placed time.Duration
 	// Silent counts leased nodes to which it neither announced nor answered
 	// within the bound; Asked counts leased nodes in all.
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -34,7 +34,7 @@
 	Position  view.Position
 	Announced time.Duration
 	Answered  time.Duration
-	// Placed is when it last told its role, term and position.
+	// Placed is when it was last asked for the place that it then told.
 	Placed time.Duration
 	rose   time.Duration
 }
@@ -124,7 +124,8 @@
 		held.Position, held.rose = info.Position, now
 	}
 	held.raise(info.Position, now)
-	held.Info, held.Announced, held.Placed = info, now, now
+	info.Position = held.Position
+	held.Info, held.Announced = info, now
 }
 
 // Looked takes an instance's answer on where it stands; sent is when it was
@@ -137,7 +138,7 @@
 	if info.Birth != held.Info.Birth {
 		return false
 	}
-	held.Placed = now
+	held.Placed = max(held.Placed, sent)
 	isTurned := held.Info.Role != info.Role || held.Info.Term != info.Term || held.Info.IsLeaving != info.IsLeaving
 	if held.rose < sent && info.Position.IsBefore(held.Position) {
 		held.Position = info.Position
--- a/pooler/coordination/serve/serve_test.go
+++ b/pooler/coordination/serve/serve_test.go
@@ -71,17 +71,27 @@
 	})
 }
 
-func TestWhenAnInstanceToldItsPlace(t *testing.T) {
-	Convey("An answer to a statement tells that an instance lives, not where it stands", t, func() {
-		now := time.Hour
+func TestWhenAnInstanceWasAskedForItsPlace(t *testing.T) {
+	now := time.Hour
+	Convey("Neither an answer to a statement nor an announcement, which may be late, tells where an instance stands at what time; a look does, from when it was sent", t, func() {
 		m := serving(open(), now)
 		m.Announced(instance("r", view.RoleReplica, at(1, 5)), now)
+		m.Looked("r", instance("r", view.RoleReplica, at(1, 5)), now, now+2*ms)
+		m.Announced(instance("r", view.RoleReplica, at(1, 5)), now+290*ms)
 		m.Sight("r").Answered = now + 300*ms
 		report := m.Told(now+310*ms, nil).Reports[0]
 		So(report.Answered, ShouldEqual, 10*ms)
+		So(report.Announced, ShouldEqual, 20*ms)
 		So(report.Placed, ShouldEqual, 310*ms)
 		m.Looked("r", instance("r", view.RoleReplica, at(1, 6)), now+311*ms, now+312*ms)
-		So(m.Told(now+320*ms, nil).Reports[0].Placed, ShouldEqual, 8*ms)
+		So(m.Told(now+320*ms, nil).Reports[0].Placed, ShouldEqual, 9*ms)
+	})
+	Convey("An announcement that comes late takes nothing back in what is reported", t, func() {
+		m := serving(open(), now)
+		m.Announced(instance("r", view.RoleReplica, at(1, 5)), now)
+		m.Looked("r", instance("r", view.RoleReplica, at(1, 9)), now+ms, now+2*ms)
+		m.Announced(instance("r", view.RoleReplica, at(1, 6)), now+3*ms)
+		So(m.Told(now+4*ms, nil).Reports[0].Instance.Position, ShouldResemble, at(1, 9))
 	})
 }
 
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -23,7 +23,7 @@
 	// Announced and Answered are how long ago.
 	Announced time.Duration
 	Answered  time.Duration
-	// Placed is how long ago it told its role, term and position.
+	// Placed is how long ago it was asked for the place that it then told.
 	Placed time.Duration
 	// Lagging is the longest that a commit here has waited for it.
 	Lagging time.Duration
@@ -369,8 +369,11 @@
 	return false
 }
 
+const never = time.Hour
+
 func (m *Machine) sight(heard Heard, held map[string]table.Stamp, now time.Duration) failover.Sight {
-	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At, Placed: now - heard.At}
+	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At, Placed: never}
+	told := sight.Heard
 	var nodes []string
 	for node := range m.reports {
 		nodes = append(nodes, node)
@@ -384,8 +387,9 @@
 		sight.Asked++
 		nearest := min(one.report.Announced, one.report.Answered) + now - one.at
 		sight.Heard = min(sight.Heard, nearest)
-		if placed := max(one.report.Placed+now-one.at, nearest); placed < sight.Placed {
-			sight.Placed, sight.Instance = placed, one.report.Instance
+		age := now - one.at
+		if since := age + min(one.report.Announced, max(one.report.Placed, one.report.Answered)); since < told {
+			told, sight.Placed, sight.Instance = since, one.report.Placed+age, one.report.Instance
 		}
 		if nearest > failover.DefaultTiming().Silence {
 			sight.Silent++
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -188,6 +188,9 @@
 		So(sight.Instance.Position.Index, ShouldEqual, 9)
 		So(sight.Heard, ShouldEqual, 10*time.Millisecond)
 		So(sight.Placed, ShouldEqual, 80*time.Millisecond)
+		d.Gather(Told{Node: "d1"}, d.now)
+		late := []Heard{{Instance: heard[0].Instance, At: d.now}}
+		So(d.Case("x", late, d.wall, d.now).Sights[0].Placed, ShouldEqual, time.Hour)
 	})
 }
 
