--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -34,7 +34,9 @@
 	Position  view.Position
 	Announced time.Duration
 	Answered  time.Duration
-	rose      time.Duration
+	// Placed is when it was last asked for the place that it then told.
+	Placed time.Duration
+	rose   time.Duration
 }
 
 func (s *Sight) raise(position view.Position, now time.Duration) {
@@ -110,7 +112,7 @@
 func (m *Machine) Sight(name string) *Sight {
 	held, isHeld := m.sights[name]
 	if !isHeld {
-		held = &Sight{Announced: -time.Hour, Answered: -time.Hour}
+		held = &Sight{Announced: -time.Hour, Answered: -time.Hour, Placed: -time.Hour}
 		m.sights[name] = held
 	}
 	return held
@@ -123,6 +125,7 @@
 		held.Position, held.rose = info.Position, now
 	}
 	held.raise(info.Position, now)
+	info.Position = held.Position
 	held.Info, held.Announced = info, now
 }
 
@@ -136,6 +139,7 @@
 	if info.Birth != held.Info.Birth {
 		return false
 	}
+	held.Placed = max(held.Placed, sent)
 	isTurned := held.Info.Role != info.Role || held.Info.Term != info.Term || held.Info.IsLeaving != info.IsLeaving
 	if held.rose < sent && info.Position.IsBefore(held.Position) {
 		held.Position = info.Position
@@ -181,7 +185,7 @@
 			continue
 		}
 		told.Reports = append(told.Reports, steer.Report{
-			Instance: held.Info, Announced: now - held.Announced, Answered: now - held.Answered, Lagging: lags[name],
+			Instance: held.Info, Announced: now - held.Announced, Answered: now - held.Answered, Placed: now - held.Placed, Lagging: lags[name],
 		})
 	}
 	for database, high := range m.highs {
