Let a statement wait 450 ms for a lease or a writer that is away, then say when to come back

Cause: while a role moved or the lease was gone, statements were held for their whole timeout of 1 s, which in Chile is the client's deadline: nothing was left to try again in, and what was held to the end is priced. Ruled out: refusing at once; three tries of a client would be spent within the outage. Change: what waits for room still waits for its whole time; what waits for a lease or a writer role that is not there is told after 450 ms that it did not run and when to come back.

--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -131,14 +131,15 @@
 // expire ends what its bound has passed for: statements and openings.
 func (m *Machine) expire(now time.Duration) {
 	for _, j := range slices.Clone(m.leaseless) {
-		if j.phase == phaseLease && now >= j.deadline {
+		if j.phase == phaseLease && now >= min(j.deadline, j.arrived+m.timing.Away) {
 			m.late(j, now)
 		}
 	}
 	for _, one := range m.bases {
 		for _, list := range []*[]*Job{&one.turns, &one.writes, &one.reads, &one.out, &one.confirms} {
 			for _, j := range slices.Clone(*list) {
-				if j.phase != phaseEnded && now >= j.deadline {
+				isAway := j.phase == phaseLine && now >= j.arrived+m.timing.Away && m.isAway(one, j, now)
+				if j.phase != phaseEnded && (now >= j.deadline || isAway) {
 					m.late(j, now)
 				}
 			}
@@ -166,6 +167,13 @@
 	m.unsure(j, "its primary lost the writer role before it answered", now)
 }
 
+// isAway says whether what a statement in line waits for is not there at all:
+// the lease, or the writer role.
+func (m *Machine) isAway(one *base, j *Job, now time.Duration) bool {
+	_, _, isOpen := m.writer(one)
+	return !m.serve.IsLeased(now) || (j.isStrict && !isOpen)
+}
+
 var lates map[phase]func(*Machine, *Job, time.Duration)
 
 func init() {
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -21,6 +21,9 @@
 type Timing struct {
 	// Timeout bounds a statement whose binding names none.
 	Timeout time.Duration
+	// Away is how long a statement waits where not room is wanting, but the
+	// lease or the writer role; it is then told when to come back.
+	Away time.Duration
 	// Welcome is how long a connect may wait for a lease and a set.
 	Welcome time.Duration
 	// Open bounds the opening of a connection.
@@ -62,7 +65,7 @@
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
 	return Timing{
-		Timeout: 5 * time.Second, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
+		Timeout: 5 * time.Second, Away: 450 * time.Millisecond, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
 		Leaving: 5 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
