--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -65,7 +65,7 @@
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
 	return Timing{
-		Timeout: 5 * time.Second, Away: 450 * time.Millisecond, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
+		Timeout: 5 * time.Second, Away: 700 * time.Millisecond, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
 		Leaving: 5 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
