Go through a peer for news only after an ask that nobody answered

Cause: answers 'not primary' counted as misses, so that while the control plane came back asks were sent through peers that themselves had no answer, 900 ms each. Change: only silence leads through a peer, then at once; one piece for both programs.

--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -12,40 +12,54 @@
 // ErrNoPeer says that no watched peer is known.
 const ErrNoPeer = errors.ConstError("no such peer")
 
-// AskNews asks the control primary, or whoever may know it, for news. Misses
-// counts the asks in a row that brought none; every third goes through a
-// watched peer, in case only the way to the primary is cut.
-func (n *Node) AskNews(ask steer.AskNews, misses int, bound time.Duration) (steer.News, bool) {
+// Seeker is how one node's asks for news have gone lately.
+type Seeker struct {
+	// Misses counts the asks in a row that brought none, Silent those of them
+	// that nobody answered at all.
+	Misses, Silent int
+}
+
+// AskNews asks the control primary, or whoever may know it, for news. After an
+// ask that nobody answered every second one goes through a watched peer, in
+// case only the way to the primary is cut.
+func (n *Node) AskNews(ask steer.AskNews, seeker *Seeker, bound time.Duration) (steer.News, bool) {
 	primary, nodes := n.Primary()
 	if primary == "" && len(nodes) == 0 {
 		return steer.News{}, false
 	}
 	address := primary
-	if len(nodes) > 0 && (address == "" || misses%3 == 2) {
-		address = nodes[misses%len(nodes)].Link
+	if len(nodes) > 0 && (address == "" || seeker.Misses%3 == 2) {
+		address = nodes[seeker.Misses%len(nodes)].Link
 	}
 	var reply any
 	var err error
-	if primary != "" && misses%3 == 1 && misses > 1 {
-		reply, err = n.askThrough(ask, misses, bound)
+	if primary != "" && seeker.Silent%2 == 1 {
+		reply, err = n.askThrough(ask, seeker.Silent, bound)
 	} else {
 		reply, err = n.Hub.Call(address, ask, bound)
 	}
 	news, isOne := reply.(steer.News)
 	if err != nil || !isOne {
 		n.Counts.Add("news_misses", 1)
+		seeker.Misses++
+		seeker.Silent++
 		return steer.News{}, false
 	}
 	n.Saw(news.Record)
-	return news, true
+	seeker.Silent = 0
+	seeker.Misses++
+	if news.IsPrimary {
+		seeker.Misses = 0
+	}
+	return news, news.IsPrimary
 }
 
-func (n *Node) askThrough(ask steer.AskNews, misses int, bound time.Duration) (any, error) {
+func (n *Node) askThrough(ask steer.AskNews, silent int, bound time.Duration) (any, error) {
 	watched := n.Watched()
 	if len(watched) == 0 {
 		return nil, ErrNoPeer
 	}
-	peer, isKnown := n.Find(watched[misses/3%len(watched)])
+	peer, isKnown := n.Find(watched[silent/2%len(watched)])
 	if !isKnown {
 		return nil, ErrNoPeer
 	}
--- a/pooler/cmd/plane/plane.go
+++ b/pooler/cmd/plane/plane.go
@@ -143,18 +143,15 @@
 }
 
 func (p *Plane) askNews() {
-	misses := 0
+	seeker := &fleet.Seeker{}
 	for !p.node.Crew.IsStopping() {
 		var ask steer.AskNews
 		p.do(func(now time.Duration) { ask = p.hall.Ask(now) })
 		sent := p.now()
-		news, isGood := p.node.AskNews(ask, misses, 600*time.Millisecond)
-		if isGood && news.IsPrimary {
-			misses = 0
+		if news, isGood := p.node.AskNews(ask, seeker, 600*time.Millisecond); isGood {
 			p.do(func(now time.Duration) { p.hall.Took(news, sent, now) })
 			continue
 		}
-		misses++
 		run.Await(make(chan struct{}), 30*time.Millisecond)
 	}
 }
--- a/pooler/cmd/sessions/news.go
+++ b/pooler/cmd/sessions/news.go
@@ -8,13 +8,14 @@
 	"github.com/valyala/fastjson"
 
 	"tansyseam.example/pooler/cmd/control"
+	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 )
 
 func (s *Sessions) askNews() {
-	misses := 0
+	seeker := &fleet.Seeker{}
 	for !s.node.Crew.IsStopping() {
 		var ask steer.AskNews
 		isSettling := false
@@ -28,13 +29,10 @@
 			continue
 		}
 		sent := s.now()
-		news, isGood := s.node.AskNews(ask, misses, 900*time.Millisecond)
-		if isGood && news.IsPrimary {
-			misses = 0
+		if news, isGood := s.node.AskNews(ask, seeker, 750*time.Millisecond); isGood {
 			s.do(func(now time.Duration) { s.pool.Took(news, sent, now) })
 			continue
 		}
-		misses++
 		run.Await(make(chan struct{}), 30*time.Millisecond)
 	}
 }
