Attend a writer role that is on its way every 25 ms

Cause: between closing, positions, intent and the new term the duty's own pace of 100 ms and a status every 150 ms took 0.35 s and 0.3 s of a move. Change: 25 ms and 75 ms while a role moves; the old primary is waited for 100 ms. The test's bounds follow the timing by 10 ms to each side.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -127,7 +127,7 @@
 // Start begins to act; the node must have been started.
 func (c *Control) Start() {
 	c.node.Crew.Loop(c.queue, beatPace, c.beat)
-	c.node.Crew.Loop(nil, 50*time.Millisecond, c.duties)
+	c.node.Crew.Loop(nil, hotPace, c.duties)
 }
 
 func (c *Control) listen() {
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -16,6 +16,7 @@
 
 const (
 	seekPace  = 100 * time.Millisecond
+	hotPace   = 25 * time.Millisecond
 	learnPace = time.Second
 	awayPace  = 300 * time.Millisecond
 )
@@ -31,6 +32,9 @@
 		return
 	}
 	c.seekAt = now + seekPace
+	if c.isMoving() {
+		c.seekAt = now + hotPace
+	}
 	if now >= c.knownAt+learnPace || c.isPrimary() {
 		c.knownAt = now
 		if answer, isOne := c.askCase(""); isOne {
@@ -47,6 +51,19 @@
 	}
 }
 
+// isMoving says whether a writer role is on its way, so that each step of it
+// is taken as soon as it can be.
+func (c *Control) isMoving() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, writer := range c.steer.Doc().Writers {
+		if writer.IsSynced && writer.Phase != view.PhaseOpen {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Control) attendSynced() {
 	if !c.isPrimary() && c.node.Now() < c.awayAt+awayPace {
 		return
--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -156,8 +156,8 @@
 	return Timing{
 		Live: 3 * time.Second, Known: time.Minute, Gathered: 700 * time.Millisecond, Settling: time.Second,
 		Refusal: 300 * time.Millisecond, Overdue: 600 * time.Millisecond, Blank: 2 * time.Second, Silence: 2500 * time.Millisecond,
-		Look: 900 * time.Millisecond, Soon: 150 * time.Millisecond, Idle: time.Second,
-		Patience: 1200 * time.Millisecond, Glance: 150 * time.Millisecond, Again: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Order: 500 * time.Millisecond,
+		Look: 900 * time.Millisecond, Soon: 75 * time.Millisecond, Idle: time.Second,
+		Patience: 1200 * time.Millisecond, Glance: 100 * time.Millisecond, Again: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Order: 500 * time.Millisecond,
 	}
 }
 
--- a/pooler/coordination/takeover/takeover_test.go
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -278,9 +278,9 @@
 	Convey("Nothing is chosen before the old primary was asked, unless it leaves or does not answer for long", t, func() {
 		one := closing(all())
 		delete(one.Seen, "a")
-		one.SettledFor = 140 * time.Millisecond
+		one.SettledFor = DefaultTiming().Glance - 10*time.Millisecond
 		So(intended(one), ShouldEqual, "")
-		one.SettledFor = 160 * time.Millisecond
+		one.SettledFor = DefaultTiming().Glance + 10*time.Millisecond
 		So(intended(one), ShouldEqual, "b")
 		one.SettledFor, one.Sights[0].Instance.IsLeaving = 0, true
 		So(intended(one), ShouldEqual, "b")
