Publish with each write what was synced by then, not what the machine holds

On "epoch turned" the state that the machine held by then was published, with set 12 in it, and c2 ended before its table was synced. Back from its disk it gave number 12 to another set.

Cause: effects are carried out in order, a sync among them, but the news of a new epoch and of a write carried no state; whoever heard them asked the machine, which was ahead by all of the step.

Ruled out: a write that the backup lacked (the epoch had none); the change to a primary that comes back (the same step existed before).

Change: Turned and Wrote carry the table that is safe at their place among the effects, and both callers take it.

The unit test, asking the machine instead, finds 3 records published for 1 synced.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -187,9 +187,9 @@
 		}
 		return
 	}
-	if _, isOne := effect.(epoch.Wrote); isOne {
+	if wrote, isOne := effect.(epoch.Wrote); isOne {
 		c.node.Counts.Add("state_writes", 1)
-		c.publish()
+		c.publish(wrote.Table)
 		return
 	}
 	if turned, isOne := effect.(epoch.Turned); isOne {
@@ -197,8 +197,7 @@
 	}
 }
 
-func (c *Control) publish() {
-	held := c.machine.Table()
+func (c *Control) publish(held *table.Table) {
 	c.mutex.Lock()
 	c.steer.Wrote(held)
 	c.mutex.Unlock()
@@ -216,7 +215,7 @@
 		}
 	}
 	c.mutex.Lock()
-	isNew := c.steer.Turn(record, c.machine.Table(), c.node.Now())
+	isNew := c.steer.Turn(record, turned.Table, c.node.Now())
 	c.mutex.Unlock()
 	c.node.Counts.Add("epochs_seen", 1)
 	c.log.Info("epoch", "epoch", record.Epoch, "primary", record.Primary, "backup", record.Backup, "role", role, "why", turned.Why)
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -196,13 +196,19 @@
 		IsUnknown bool
 		Stamp     table.Stamp
 	}
-	// Turned tells a change of role or epoch, with its cause.
+	// Turned tells a change of role or epoch, with its cause and the state that
+	// is safe to publish at that point: later effects may still have to sync
+	// what Table gives.
 	Turned struct {
 		Record Record
 		Why    string
+		Table  *table.Table
 	}
 	// Wrote tells that the state changed and is safe.
-	Wrote struct{ Stamp table.Stamp }
+	Wrote struct {
+		Stamp table.Stamp
+		Table *table.Table
+	}
 )
 
 // Timing holds the machine's bounds.
@@ -514,7 +520,7 @@
 
 func (m *Machine) dropBackup(now time.Duration, why string) {
 	m.shunned[m.ballots.Decided.Backup] = now + 4*m.timing.Primacy
-	m.emit(Turned{Record: m.ballots.Decided, Why: why})
+	m.emit(Turned{Record: m.ballots.Decided, Why: why, Table: m.safe})
 	m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
 }
 
--- a/pooler/coordination/epoch/epoch_test.go
+++ b/pooler/coordination/epoch/epoch_test.go
@@ -134,3 +134,34 @@
 		}
 	})
 }
+
+func TestWhatIsPublishedIsSynced(t *testing.T) {
+	const wall = int64(1_700_000_000_000_000_000)
+	Convey("Where writes follow each other in one step, each is published with what was synced by then, and no more", t, func() {
+		now := time.Hour
+		voters := []string{"c1", "c2", "c3"}
+		m := New("c1", len(voters), DefaultTiming(), Saved{
+			Identity: &Identity{Cluster: "x", Self: "c1", Voters: voters, IsFormed: true},
+			Ballots:  &Ballots{Sequence: 1, Decided: Record{Epoch: 4, Primary: "c1"}}, Table: table.New(),
+		}, now)
+		m.Step(Tick{Wall: wall}, now)
+		for at := range 3 {
+			m.Step(Submit{Token: uint64(at + 1), Build: func(*table.Table) []table.Put {
+				return []table.Put{{Key: string(rune('a' + at)), Data: []byte("x")}}
+			}}, now)
+		}
+		effects := m.Step(Heard{From: "c3", Body: RenewAck{Decided: m.Record(), Sent: now, Life: m.life, Wall: wall, IsGranted: true}}, now)
+		saved, published := 0, 0
+		for _, effect := range effects {
+			if save, isSave := effect.(Save); isSave && save.Kind == FileTable {
+				saved++
+			}
+			if wrote, isWrote := effect.(Wrote); isWrote {
+				published++
+				So(len(wrote.Table.Records), ShouldEqual, saved)
+				So(wrote.Table.Stamp, ShouldResemble, wrote.Stamp)
+			}
+		}
+		So(published, ShouldEqual, 3)
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -160,7 +160,7 @@
 	m.saveIdentity()
 	m.isLost = false
 	m.grantAt = now
-	m.emit(Turned{Record: record, Why: "fleet formed"})
+	m.emit(Turned{Record: record, Why: "fleet formed", Table: m.safe})
 }
 
 func (m *Machine) onStanding(from string, standing Standing, now time.Duration) {
@@ -203,7 +203,7 @@
 	m.emit(Clean{})
 	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.started = now
-	m.emit(Turned{Record: best.Decided, Why: "disk was lost; a majority told where things stand"})
+	m.emit(Turned{Record: best.Decided, Why: "disk was lost; a majority told where things stand", Table: m.safe})
 }
 
 func (m *Machine) adopt(record Record, now time.Duration, why string) {
@@ -225,12 +225,12 @@
 		m.primacy = 0
 		m.failQueue()
 	}
-	m.emit(Turned{Record: record, Why: why})
 	if record.Primary == m.self && !wasNamed {
 		m.acks = map[string]time.Duration{}
 		m.shunned = map[string]time.Duration{}
 		m.safe = m.copy
 	}
+	m.emit(Turned{Record: record, Why: why, Table: m.safe})
 	if record.Primary == m.self {
 		m.renewed = now - m.timing.Renew
 		m.finishWrite(now)
@@ -415,7 +415,7 @@
 	}
 	stamp := m.pending.stamp
 	m.safe = m.copy
-	m.emit(Wrote{Stamp: stamp})
+	m.emit(Wrote{Stamp: stamp, Table: m.safe})
 	m.emit(Answer{Token: m.pending.token, IsKept: true, Stamp: stamp})
 	m.pending = nil
 	m.pump(now)
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -143,15 +143,15 @@
 		}
 		return
 	}
-	if _, isOne := effect.(epoch.Wrote); isOne {
-		c.steer.Wrote(c.epoch.Table())
+	if wrote, isOne := effect.(epoch.Wrote); isOne {
+		c.steer.Wrote(wrote.Table)
 		c.fleet.took(c.name, c.steer.Doc().Sets)
 		c.flush()
 		return
 	}
 	if turned, isOne := effect.(epoch.Turned); isOne {
 		c.world.note("%s epoch %d primary %s backup %s: %s", c.name, turned.Record.Epoch, turned.Record.Primary, turned.Record.Backup, turned.Why)
-		c.steer.Turn(turned.Record, c.epoch.Table(), c.clock())
+		c.steer.Turn(turned.Record, turned.Table, c.clock())
 	}
 }
 
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -91,6 +91,7 @@
 	}{
 		{"an intent was given up for a position told before it", 7000138, diced(Magnolia())},
 		{"a control primary that came back published a write that its backup had not", 7000103, diced(Magnolia())},
+		{"a write was published before it was synced", 7000967, Magnolia()},
 		{"a lull in what callers asked for was taken for a service that is down", 7000386, Magnolia()},
 		{"as before", 9100765, Chile()},
 		{"as before", 9101192, Chile()},
