Send a leaving primary less where a new node cannot know how long it has been leaving

Cause: a node that starts counts an instance's leaving from when it hears of it; where such a one is primary, work could go there past the time in which it may. Test seen failing first (TestLeaving: first heard of it). Change: 2 s instead of 5. Conclusion: passes.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -35,6 +35,9 @@
 		held.leavingAt = 0
 	} else if held.leavingAt == 0 {
 		held.leavingAt = now
+		if known.Name == "" {
+			held.leavingAt = now - m.timing.Leaving + m.timing.Late
+		}
 		if !m.isHead(held) {
 			m.shutIdle(held, now)
 		}
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -42,6 +42,9 @@
 	// Leaving is how long an instance that leaves is still sent what must go
 	// there: statements of open transactions, and all that needs the primary.
 	Leaving time.Duration
+	// Late is what is left of that where an instance was leaving already when
+	// the node first heard of it.
+	Late time.Duration
 	// Lagging is how long a replica that lagged is passed over.
 	Lagging time.Duration
 	// Caught is the age from which a session's own commit is taken to have
@@ -65,7 +68,7 @@
 		Timeout: 5 * time.Second, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
-		Leaving: 5 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
+		Leaving: 5 * time.Second, Late: 2 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
 		Linger: 2300 * time.Millisecond, Turns: 2900 * time.Millisecond, Finish: 5400 * time.Millisecond,
 		Line: 4096, Clients: 3000, Inbox: 16, Shapes: 200, Reference: 200 * time.Millisecond,
 	}
--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
@@ -1295,6 +1296,24 @@
 		r.role(view.PhaseClosing, "a", 3)
 		So(len(r.back("a").conns), ShouldEqual, 0)
 	})
+	Convey("A primary that was leaving when the node first heard of it is sent what needs it for a shorter while", t, func() {
+		r := newRig(20)
+		late := newRig(20)
+		late.instances[0].IsLeaving = true
+		late.Machine = New(Place{Name: "d2", Zone: "za", Birth: 1, Beta: 1}, DefaultTiming(), lease.DefaultTiming(), func(string, int64) {})
+		late.news(1600 * time.Millisecond)
+		c := late.client("strict")
+		late.query(c, write("1"))
+		late.answer(late.next(), stream.StateIdle, ok("w"))
+		late.wait(2100 * time.Millisecond)
+		late.query(c, write("2"))
+		So(late.sends, ShouldBeEmpty)
+		r.instances[0].IsLeaving = true
+		r.news(1600 * time.Millisecond)
+		r.wait(2100 * time.Millisecond)
+		r.query(r.client("strict"), write("1"))
+		So(len(r.sends), ShouldEqual, 1)
+	})
 	Convey("A primary that leaves is sent nothing more after a while, though its term be open", t, func() {
 		r := newRig(20)
 		c, inside := r.client("strict"), r.client("strict")
