Tell of the instance that is to be promoted, so that a new control primary can ask it

Cause: a promote call was lost and its instance ended in good order; the control primary that came after had never heard that instance, had no address to ask at, and waited for it without end. Ruled out: giving the intent up by time, since a late call could still take effect. Change: nodes, which know the address, tell of the intended instance as of the primary; the status asked there shows that it is gone. Test seen failing first (TestTold).

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -83,8 +83,9 @@
 	for _, held := range m.backs {
 		one := m.baseOf(held)
 		overdue := m.overdue(held, now)
-		isHead := m.serve.Writer(one.name).Primary == held.info.Name
-		if !isHead && held.refused == 0 && overdue < 300*time.Millisecond {
+		writer := m.serve.Writer(one.name)
+		isNamed := writer.Primary == held.info.Name || writer.Intent == held.info.Name
+		if !isNamed && held.refused == 0 && overdue < 300*time.Millisecond {
 			continue
 		}
 		seen := held.info
--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -1611,6 +1611,17 @@
 		So(report.Overdue, ShouldBeGreaterThan, 600*time.Millisecond)
 		So(report.Answered, ShouldBeGreaterThan, 600*time.Millisecond)
 	})
+	Convey("The instance that is to be promoted is told of, so that a new control primary can ask at its address", t, func() {
+		r := newRig(20)
+		So(len(r.Told(r.now).Reports), ShouldEqual, 2)
+		r.doc.Writers["x"] = view.Writer{Database: "x", Term: 3, Primary: "a", Intent: "b", Phase: view.PhaseIntent, IsSynced: true}
+		r.news(1600 * time.Millisecond)
+		names := []string{}
+		for _, report := range r.Told(r.now).Reports {
+			names = append(names, report.Instance.Name+" "+report.Instance.Address)
+		}
+		So(names, ShouldResemble, []string{"a a:1", "b b:1", "d d:1"})
+	})
 	Convey("A primary that refuses connections is told at once", t, func() {
 		r := newRig(20)
 		r.isSlow = true
