Promote what holds all that a leaving primary itself says it has, though a replica is gone

Cause: a planned replacement of the primary soon after one of a replica, while control machines changed, found no replica shown to hold all: the one that had gone could not be asked, and the nodes' reports were not whole. Ruled out: dropping replicas that ended in good order from those to ask, since they may hold what no other does. Change: the old primary's own position, told after the nodes had dropped it, in its term and role, lies at or past all that was acknowledged; a replica at or past it is proven. Test seen failing first (TestCeiling).

--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -492,6 +492,14 @@
 	}
 }
 
+// ceiling gives a position at or past all that was acknowledged, where the
+// old primary itself told its own after the nodes had dropped it.
+func (c Case) ceiling() (view.Position, bool) {
+	seen := c.Seen[c.Writer.Primary]
+	isTold := c.IsSettled && seen.IsAfter && seen.IsAnswered && seen.Role == view.RolePrimary && seen.Term == c.Writer.Term
+	return seen.Position, isTold
+}
+
 func (c Case) pick(found asking, timing Timing) (Sight, string, bool) {
 	if len(found.answered) == 0 {
 		return Sight{}, "term is closed, and no replica answers: nothing is promoted", false
@@ -502,11 +510,13 @@
 		})
 	}
 	isAll := len(found.silent) == 0 && len(found.lost) == 0
+	ceiling, isTold := c.ceiling()
 	isProven := func(sight Sight) bool {
 		position := found.positions[sight.Instance.Name]
 		isFurthest := !position.IsBefore(found.positions[furthest(found.answered).Instance.Name])
 		isPast := !position.IsBefore(c.Writer.High)
-		return isPast && ((isAll && isFurthest) || (c.IsWhole() && !position.IsBefore(c.Bound)))
+		isCovering := isTold && !position.IsBefore(ceiling)
+		return isPast && ((isAll && isFurthest) || (c.IsWhole() && !position.IsBefore(c.Bound)) || isCovering)
 	}
 	best := furthest(found.answered)
 	staying := slices.DeleteFunc(slices.Clone(found.answered), func(sight Sight) bool { return sight.Instance.IsLeaving })
--- a/pooler/coordination/takeover/takeover_test.go
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -465,3 +465,23 @@
 		}
 	})
 }
+
+func TestCeiling(t *testing.T) {
+	Convey("A leaving primary's own word after the settling bounds what was acknowledged, though a replica be gone and reports not whole", t, func() {
+		play := func(a Seen, b Seen) string {
+			one := closing(map[string]Seen{"a": a, "b": b})
+			one.Sights[0].Instance.IsLeaving = true
+			one.Sights[2].Instance.IsGone = true
+			one.Event, one.SettledFor = 2, 5*time.Second
+			return intended(one)
+		}
+		So(play(told(view.RolePrimary, 3, 97), told(view.RoleReplica, 3, 97)), ShouldEqual, "b")
+		So(play(told(view.RolePrimary, 3, 98), told(view.RoleReplica, 3, 97)), ShouldEqual, "")
+		So(play(failed(), told(view.RoleReplica, 3, 97)), ShouldEqual, "")
+		early := told(view.RolePrimary, 3, 97)
+		early.IsAfter = false
+		So(play(early, told(view.RoleReplica, 3, 97)), ShouldEqual, "")
+		So(play(told(view.RolePrimary, 2, 97), told(view.RoleReplica, 3, 97)), ShouldEqual, "")
+		So(play(told(view.RoleReplica, 3, 97), told(view.RoleReplica, 3, 97)), ShouldEqual, "")
+	})
+}
