Take the word of the instance that has a gone primary's log as that primary's own

Ruled out: opening the term under the other name, which needs more to be sure of. Change: its position bounds what was acknowledged as the old primary's would.

--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -493,11 +493,17 @@
 }
 
 // ceiling gives a position at or past all that was acknowledged, where the
-// old primary itself told its own after the nodes had dropped it.
+// old primary itself, or the instance that has its log by now, told its own
+// after the nodes had dropped it.
 func (c Case) ceiling() (view.Position, bool) {
-	seen := c.Seen[c.Writer.Primary]
-	isTold := c.IsSettled && seen.IsAfter && seen.IsAnswered && seen.Role == view.RolePrimary && seen.Term == c.Writer.Term
-	return seen.Position, isTold
+	highest, isTold := view.Position{}, false
+	for _, seen := range c.Seen {
+		isLeading := seen.IsAnswered && seen.Role == view.RolePrimary && seen.Term == c.Writer.Term
+		if c.IsSettled && seen.IsAfter && isLeading {
+			highest, isTold = highest.Later(seen.Position), true
+		}
+	}
+	return highest, isTold
 }
 
 func (c Case) pick(found asking, timing Timing) (Sight, string, bool) {
--- a/pooler/coordination/takeover/takeover_test.go
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -485,3 +485,17 @@
 		So(play(told(view.RoleReplica, 3, 97), told(view.RoleReplica, 3, 97)), ShouldEqual, "")
 	})
 }
+
+func TestSuccessor(t *testing.T) {
+	Convey("An instance that has a gone primary's log and says that it leads the same term bounds what was acknowledged", t, func() {
+		play := func(d Seen) string {
+			one := closing(map[string]Seen{"b": told(view.RoleReplica, 3, 97), "c": told(view.RoleReplica, 3, 96), "d": d})
+			one.Sights[0].Instance.IsGone = true
+			one.Sights = append(one.Sights, sight("d", view.RolePrimary))
+			one.Event, one.SettledFor = 2, 5*time.Second
+			return intended(one)
+		}
+		So(play(told(view.RolePrimary, 3, 97)), ShouldEqual, "b")
+		So(play(told(view.RolePrimary, 3, 98)), ShouldEqual, "")
+	})
+}
