Ask at the end of a simulated run that every writer role is open, and name the command

Cause: one database of two that stayed closed for good passed where three quarters were served all the same. Change: each role must be open, or have been recorded anew within 5 s.

--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -387,6 +387,7 @@
 	for _, disk := range l.controls {
 		if disk.isUp && disk.isPrimary() {
 			held = disk.steer.Doc().Newest().Version
+			l.settledAll(disk)
 		}
 	}
 	if held < newest {
@@ -399,6 +400,16 @@
 	return result
 }
 
+// settledAll checks that every writer role is open, or just moved.
+func (l *lines) settledAll(disk *control) {
+	for _, database := range l.databases {
+		writer := disk.steer.Doc().Writers[database]
+		if writer.Phase != view.PhaseOpen && disk.wallNow()-writer.Since > int64(5*time.Second) {
+			l.fault(RuleRecover, "%s is %s at the end: %s", database, writer.Phase, writer.Why)
+		}
+	}
+}
+
 // whole checks that a log has all that clients were told kept.
 func (l *lines) whole(one *server, what string) {
 	held := l.kept[one.database]
