--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
@@ -1295,6 +1296,24 @@
 		r.role(view.PhaseClosing, "a", 3)
 		So(len(r.back("a").conns), ShouldEqual, 0)
 	})
+	Convey("A primary that was leaving when the node first heard of it is sent what needs it for a shorter while", t, func() {
+		r := newRig(20)
+		late := newRig(20)
+		late.instances[0].IsLeaving = true
+		late.Machine = New(Place{Name: "d2", Zone: "za", Birth: 1, Beta: 1}, DefaultTiming(), lease.DefaultTiming(), func(string, int64) {})
+		late.news(1600 * time.Millisecond)
+		c := late.client("strict")
+		late.query(c, write("1"))
+		late.answer(late.next(), stream.StateIdle, ok("w"))
+		late.wait(2100 * time.Millisecond)
+		late.query(c, write("2"))
+		So(late.sends, ShouldBeEmpty)
+		r.instances[0].IsLeaving = true
+		r.news(1600 * time.Millisecond)
+		r.wait(2100 * time.Millisecond)
+		r.query(r.client("strict"), write("1"))
+		So(len(r.sends), ShouldEqual, 1)
+	})
 	Convey("A primary that leaves is sent nothing more after a while, though its term be open", t, func() {
 		r := newRig(20)
 		c, inside := r.client("strict"), r.client("strict")
@@ -1592,6 +1611,17 @@
 		So(report.Overdue, ShouldBeGreaterThan, 600*time.Millisecond)
 		So(report.Answered, ShouldBeGreaterThan, 600*time.Millisecond)
 	})
+	Convey("The instance that is to be promoted is told of, so that a new control primary can ask at its address", t, func() {
+		r := newRig(20)
+		So(len(r.Told(r.now).Reports), ShouldEqual, 2)
+		r.doc.Writers["x"] = view.Writer{Database: "x", Term: 3, Primary: "a", Intent: "b", Phase: view.PhaseIntent, IsSynced: true}
+		r.news(1600 * time.Millisecond)
+		names := []string{}
+		for _, report := range r.Told(r.now).Reports {
+			names = append(names, report.Instance.Name+" "+report.Instance.Address)
+		}
+		So(names, ShouldResemble, []string{"a a:1", "b b:1", "d d:1"})
+	})
 	Convey("A primary that refuses connections is told at once", t, func() {
 		r := newRig(20)
 		r.isSlow = true
--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -129,7 +129,7 @@
 	codes    map[string]int
 	swapped  string
 	made     int
-	lostKept int
+	replaced map[string]bool
 }
 
 // ledger is what clients were told kept of one database, in order.
@@ -146,11 +146,11 @@
 
 func newLines(seed uint64, size LineShape, defect LinePlant) *lines {
 	w := newWorld(seed)
-	f := &fleet{world: w, shape: Shape{Controls: size.Controls}, met: map[string]int{}, isSeen: map[string]bool{}, removed: map[string]bool{}}
+	f := &fleet{world: w, shape: Shape{Controls: size.Controls}, met: map[string]int{}, isSeen: map[string]bool{}, removed: map[string]bool{}, ambushes: 8}
 	l := &lines{
 		fleet: f, defect: defect, size: size, hosts: map[string]*server{}, broken: map[string][]string{}, asks: map[string]*ask{},
 		stamps: map[string]string{}, appended: map[string]view.Position{}, promised: map[string]string{}, kept: map[string]*ledger{},
-		leaders: map[string]uint64{}, sentAt: map[uint64]time.Duration{}, fences: map[string]uint64{}, codes: map[string]int{},
+		leaders: map[string]uint64{}, sentAt: map[uint64]time.Duration{}, fences: map[string]uint64{}, codes: map[string]int{}, replaced: map[string]bool{},
 	}
 	f.lines = l
 	f.platform = &platform{machine: f.machine("platform"), fleet: f}
@@ -375,7 +375,7 @@
 		result.Terms = max(result.Terms, l.leaders[database])
 		head := l.head(database)
 		if head == nil {
-			l.fault(RuleLost, "%s has no primary at the end", database)
+			l.fault(RuleRecover, "%s has no primary at the end", database)
 			continue
 		}
 		l.whole(head, "the primary at the end")
@@ -387,6 +387,7 @@
 	for _, disk := range l.controls {
 		if disk.isUp && disk.isPrimary() {
 			held = disk.steer.Doc().Newest().Version
+			l.settledAll(disk)
 		}
 	}
 	if held < newest {
@@ -399,6 +400,16 @@
 	return result
 }
 
+// settledAll checks that every writer role is open, or just moved.
+func (l *lines) settledAll(disk *control) {
+	for _, database := range l.databases {
+		writer := disk.steer.Doc().Writers[database]
+		if writer.Phase != view.PhaseOpen && disk.wallNow()-writer.Since > int64(5*time.Second) {
+			l.fault(RuleRecover, "%s is %s at the end: %s", database, writer.Phase, writer.Why)
+		}
+	}
+}
+
 // whole checks that a log has all that clients were told kept.
 func (l *lines) whole(one *server, what string) {
 	held := l.kept[one.database]
