--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -35,7 +35,9 @@
 		held.leavingAt = 0
 	} else if held.leavingAt == 0 {
 		held.leavingAt = now
-		m.shutIdle(held, now)
+		if !m.isHead(held) {
+			m.shutIdle(held, now)
+		}
 	}
 	m.retune(held)
 	m.pump(one, now)
@@ -65,6 +67,9 @@
 	told := m.Told(now)
 	ask.Reports, ask.Highs = told.Reports, told.Highs
 	ask.Roll, ask.Birth = m.roll, m.place.Birth
+	for _, one := range m.bases {
+		one.isDropped = one.closedAt != 0
+	}
 	return ask
 }
 
@@ -189,7 +194,7 @@
 func (m *Machine) onMoved(one *base, moved serve.Moved, now time.Duration) {
 	m.count("writer_moves", 1)
 	if moved.After.Phase == view.PhaseOpen {
-		one.closedAt = 0
+		one.closedAt, one.isDropped = 0, false
 		if moved.Before.Term != moved.After.Term {
 			one.samples = nil
 		}
@@ -197,18 +202,20 @@
 		one.closedAt = now
 	}
 	old := m.back(moved.Before.Primary)
-	isFenced := moved.Before.Phase == view.PhaseOpen && old != nil && (moved.After.Phase != view.PhaseOpen || moved.After.Primary != moved.Before.Primary)
+	isFenced := moved.Before.Phase == view.PhaseOpen && old != nil && (moved.After.Phase != view.PhaseOpen || moved.After.Term != moved.Before.Term)
 	if !isFenced {
 		return
 	}
+	isOld := func(term uint64) bool { return moved.After.Phase != view.PhaseOpen || term != moved.After.Term }
 	for _, j := range slices.Clone(one.out) {
-		if j.isFree() && j.isStrict && len(j.legs) > 0 && j.legs[0].conn.back == old {
+		isRead := j.phase == phaseOut && j.isFree() && j.isStrict && len(j.legs) > 0
+		if isRead && isOld(j.term) && j.legs[0].conn.back == old {
 			m.again(j, now)
 		}
 	}
 	for _, conn := range slices.Clone(old.conns) {
 		owner := conn.owner
-		if owner == nil || owner.turn == nil || owner.turn.isRead {
+		if owner == nil || owner.turn == nil || owner.turn.isRead || !isOld(conn.term) {
 			continue
 		}
 		if j := owner.job; j != nil && j.isCommit && j.isSent() {
@@ -227,7 +234,7 @@
 		return
 	}
 	j := c.job
-	if j != nil && j.isSent() && j.isCommit && !held.isRead {
+	if j != nil && j.isSent() && j.mayLast() {
 		m.cut(j, now)
 		return
 	}
@@ -306,32 +313,42 @@
 	}
 	j.legs, j.isTwin = nil, false
 	j.tries++
-	if j.tries > 8 {
-		m.refuse(j, stream.CodeFailed, "no instance answered", now)
+	if j.tries > m.timing.Tries {
+		m.refuse(j, stream.CodeBusy, "no instance took it; come back in 200 ms", now)
 		return
 	}
 	m.bind(j, now)
 }
 
+// pause puts a statement that an instance refused back in line; unless it
+// lagged, and another may not, it waits a little.
+func (m *Machine) pause(j *Job, code stream.Code, now time.Duration) {
+	if code != stream.CodeLagging {
+		j.restAt = now + time.Duration(j.tries+1)*m.timing.Pause
+	}
+	m.again(j, now)
+}
+
 // Came takes messages from an instance, in order.
 func (m *Machine) Came(conn *Conn, message stream.Message, now time.Duration) {
 	if conn.state == connOver {
 		return
 	}
 	held := conn.back
-	held.answered, held.refused, held.rest = now, 0, 0
 	if conn.state == connOpening {
 		m.onOpening(conn, message, now)
 		return
 	}
+	held.answered, held.refused = now, 0
 	if len(conn.waits) == 0 {
 		m.count("answers_unasked", 1)
-		m.shut(conn, now)
+		m.Lost(conn, now)
 		return
 	}
 	first := conn.waits[0]
 	act, isKnown := arrivals[message.Kind]
-	if !isKnown {
+	isPast := first.leg != nil && first.leg.hasEnd && message.Kind != stream.KindReady
+	if !isKnown || isPast {
 		m.count("answers_malformed", 1)
 		m.Lost(conn, now)
 		return
@@ -367,7 +384,12 @@
 
 func (m *Machine) onOpening(conn *Conn, message stream.Message, now time.Duration) {
 	held := conn.back
+	if message.Code == stream.CodeWrongHost {
+		m.Lost(conn, now)
+		return
+	}
 	held.opening--
+	held.answered, held.refused = now, 0
 	if message.Kind != stream.KindReady {
 		m.count("connections_refused", 1)
 		m.rest(held, now)
@@ -376,6 +398,7 @@
 		return
 	}
 	m.count("connections_opened", 1)
+	held.rest = 0
 	held.position = held.position.Later(message.Position)
 	conn.state = connBusy
 	m.recycle(conn, now)
@@ -395,12 +418,17 @@
 	}
 	if first.leg == nil {
 		if len(conn.waits) == 0 && conn.leg == nil {
-			m.recycle(conn, now)
+			m.recycleState(conn, message.State, now)
 			m.pump(m.baseOf(held), now)
 		}
 		return
 	}
 	l := first.leg
+	if !l.hasEnd {
+		m.count("answers_malformed", 1)
+		m.Lost(conn, now)
+		return
+	}
 	if !l.isBegun {
 		m.onBegun(l, message, now)
 		return
@@ -468,16 +496,11 @@
 		m.recycle(conn, now)
 		return
 	}
-	if !l.hasEnd {
-		m.count("answers_malformed", 1)
-		m.Lost(conn, now)
-		return
-	}
 	if j.turn != nil {
 		m.settleTurn(l, ready, now)
 		return
 	}
-	m.recycle(conn, now)
+	m.recycleState(conn, ready.State, now)
 	if l.end.Kind == stream.KindError {
 		m.settleError(l, now)
 		return
@@ -489,7 +512,7 @@
 // first statement, which follows only now: it must never run outside.
 func (m *Machine) onBegun(l *leg, ready stream.Message, now time.Duration) {
 	j, conn := l.job, l.conn
-	isGood := l.hasEnd && l.end.Kind == stream.KindDone && ready.State == stream.StateInside
+	isGood := l.end.Kind == stream.KindDone && ready.State == stream.StateInside
 	isOurs := !l.isDropped && j.phase == phaseOut
 	if isGood && isOurs {
 		l.hasEnd, l.isBegun, l.rows, l.sentAt = false, true, nil, now
@@ -505,7 +528,7 @@
 	m.recycleState(conn, ready.State, now)
 	if isOurs {
 		j.turn.conn = nil
-		m.again(j, now)
+		m.pause(j, l.end.Code, now)
 	}
 	m.pump(m.baseOf(conn.back), now)
 }
@@ -521,7 +544,10 @@
 	} else {
 		conn.state = connIdle
 		c.state = ready.State
-		if ready.State == stream.StateFailed {
+		if isError && l.end.Code.IsPromise() {
+			c.state = stream.StateFailed
+		}
+		if c.state == stream.StateFailed {
 			m.endTurn(c, now)
 		}
 	}
@@ -537,12 +563,16 @@
 	if l.end.Code == stream.CodeLagging {
 		l.conn.back.lagUntil = now + m.timing.Lagging
 	}
-	isAgain := j.isFree() && (l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly || l.end.Code == stream.CodeNotFound)
+	isUnknown := l.end.Code == stream.CodeNotFound
+	l.conn.isDirty = l.conn.isDirty || isUnknown
+	isRefused := l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly
+	isAgain := (j.isFree() && isRefused) || (j.turn == nil && isUnknown)
+	if isAgain && l.hasTwin() {
+		l.isDropped = true
+		return
+	}
 	if isAgain {
-		if l.end.Code == stream.CodeNotFound {
-			l.conn.isDirty = true
-		}
-		m.again(j, now)
+		m.pause(j, l.end.Code, now)
 		return
 	}
 	c := j.client
@@ -576,16 +606,19 @@
 }
 
 // settleConfirms tells commits that ran, while the lease is held and the term
-// in which they ran is open.
+// in which they ran is open, or is closing and the node has not yet told that
+// it knows: until then nothing else is promoted, and the positions that are
+// asked for after cover what is told now.
 func (m *Machine) settleConfirms(one *base, now time.Duration) {
 	for _, j := range slices.Clone(one.confirms) {
 		writer := m.serve.Writer(one.name)
-		isOver := writer.Term != j.term || writer.Phase != view.PhaseOpen
+		isClosing := writer.Phase == view.PhaseClosing && !one.isDropped
+		isOver := writer.Term != j.term || (writer.Phase != view.PhaseOpen && !isClosing)
 		if isOver {
 			m.unsure(j, "it ran on a primary that has since lost the writer role", now)
 			continue
 		}
-		if !m.serve.MayWrite(one.name, j.term, now) {
+		if !m.serve.IsLeased(now) {
 			continue
 		}
 		one.high = one.high.Later(j.position)
--- a/pooler/coordination/pool/clients.go
+++ b/pooler/coordination/pool/clients.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,8 @@
 		m.count("clients_refused", 1)
 		return nil
 	}
-	made := &Client{Token: token, state: stream.StateIdle, came: now, used: now}
+	m.ranks++
+	made := &Client{Token: token, state: stream.StateIdle, rank: m.ranks, used: now}
 	m.clients[made] = true
 	m.count("clients_met", 1)
 	return made
@@ -121,6 +123,7 @@
 }
 
 func (m *Machine) next(c *Client, now time.Duration) {
+	c.used = now
 	for len(c.inbox) > 0 && c.job == nil && !c.isGone {
 		asked := c.inbox[0]
 		c.inbox = c.inbox[1:]
@@ -207,7 +210,7 @@
 		m.fail(c, stream.CodeMalformed, "inside a transaction already", true)
 		return
 	}
-	c.state, c.turn = stream.StateInside, &turn{isRead: isRead, came: now}
+	c.state, c.turn = stream.StateInside, &turn{isRead: isRead}
 	m.done(c)
 }
 
@@ -327,7 +330,7 @@
 	for c := range m.clients {
 		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b *Client) int { return int(a.came - b.came) })
+	slices.SortFunc(list, func(a, b *Client) int { return cmp.Compare(a.rank, b.rank) })
 	return list
 }
 
--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -6,7 +6,6 @@
 
 	"tansyseam.example/pooler/coordination/admit"
 	"tansyseam.example/pooler/state/stream"
-	"tansyseam.example/pooler/state/view"
 )
 
 func (m *Machine) shutIdle(held *back, now time.Duration) {
@@ -22,7 +21,7 @@
 		return
 	}
 	conn.state, conn.leg = connIdle, nil
-	if held.leavingAt != 0 || held.info.IsGone || len(held.conns) > m.share(held) {
+	if (held.leavingAt != 0 && !m.isHead(held)) || held.info.IsGone || len(held.conns) > m.share(held) {
 		m.shut(conn, now)
 		return
 	}
@@ -115,15 +114,20 @@
 		m.abortTurn(j, now)
 		return
 	}
-	for _, other := range j.legs {
-		if other != l && !other.isDropped && other.conn.state == connBusy {
-			l.isDropped = true
-			return
-		}
+	if l.hasTwin() {
+		l.isDropped = true
+		return
 	}
 	m.again(j, now)
 }
 
+// hasTwin says whether the statement is out at another instance too.
+func (l *leg) hasTwin() bool {
+	return slices.ContainsFunc(l.job.legs, func(other *leg) bool {
+		return other != l && !other.isDropped && other.conn.state == connBusy
+	})
+}
+
 // expire ends what its bound has passed for: statements and openings.
 func (m *Machine) expire(now time.Duration) {
 	for _, j := range slices.Clone(m.leaseless) {
@@ -132,8 +136,8 @@
 		}
 	}
 	for _, one := range m.bases {
-		for _, list := range [][]*Job{one.turns, one.writes, one.reads, one.out, one.confirms} {
-			for _, j := range slices.Clone(list) {
+		for _, list := range []*[]*Job{&one.turns, &one.writes, &one.reads, &one.out, &one.confirms} {
+			for _, j := range slices.Clone(*list) {
 				if j.phase != phaseEnded && now >= j.deadline {
 					m.late(j, now)
 				}
@@ -231,9 +235,10 @@
 			m.shut(conn, now)
 		}
 	}
-	if held.leavingAt == 0 || now-held.leavingAt < graceOf(held.info) {
+	if !m.isSpent(held, now) {
 		return
 	}
+	m.shutIdle(held, now)
 	for _, conn := range slices.Clone(held.conns) {
 		if conn.owner != nil {
 			m.loseTurn(conn.owner, now)
@@ -241,7 +246,11 @@
 	}
 }
 
-func graceOf(view.Instance) time.Duration { return 5 * time.Second }
+// isSpent says whether an instance has been leaving for so long that nothing
+// more is sent there.
+func (m *Machine) isSpent(held *back, now time.Duration) bool {
+	return held.leavingAt != 0 && now-held.leavingAt >= m.timing.Leaving
+}
 
 // IsOver says whether the machine has given the connection up.
 func (c *Conn) IsOver() bool { return c.state == connOver }
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -41,6 +41,11 @@
 	if j.binding.Timeout > 0 {
 		j.deadline = j.arrived + j.binding.Timeout
 	}
+	if now >= j.deadline {
+		m.count("timeouts", 1)
+		m.lateInLine(j, now)
+		return
+	}
 	isReading := !j.isWrite && !j.isCommit
 	if j.turn != nil {
 		isReading = j.turn.isRead
@@ -112,8 +117,17 @@
 	}
 }
 
+// isDue says whether a statement in line may go out now; one whose time is
+// over is about to be ended.
+func (j *Job) isDue(now time.Duration) bool {
+	return j.phase == phaseLine && now >= j.restAt && now < j.deadline
+}
+
 func (m *Machine) pumpTurns(one *base, now time.Duration) {
 	for _, j := range slices.Clone(one.turns) {
+		if j.phase != phaseLine {
+			continue
+		}
 		conn := j.turn.conn
 		if conn == nil || j.turn.isLost {
 			m.unline(j)
@@ -122,7 +136,7 @@
 		}
 		writer, _, isOpen := m.writer(one)
 		isFenced := !j.turn.isRead && (!isOpen || writer.Term != conn.term || !m.serve.IsLeased(now))
-		if !isFenced && conn.back.window.HasRoom() {
+		if !isFenced && j.isDue(now) && conn.back.window.HasRoom() {
 			j.term = conn.term
 			m.pass(j, conn, now)
 		}
@@ -131,11 +145,16 @@
 
 func (m *Machine) pumpWrites(one *base, now time.Duration) {
 	writer, target, isOpen := m.writer(one)
-	if !isOpen || !m.serve.MayWrite(one.name, writer.Term, now) {
+	if !isOpen || !m.serve.MayWrite(one.name, writer.Term, now) || m.isSpent(target, now) {
 		return
 	}
-	for len(one.writes) > 0 && target.window.HasRoom() {
-		j := one.writes[0]
+	for _, j := range slices.Clone(one.writes) {
+		if !target.window.HasRoom() {
+			return
+		}
+		if !j.isDue(now) {
+			continue
+		}
 		conn := m.spare(target, j.client)
 		if conn == nil {
 			m.grow(target, len(one.writes), now)
@@ -152,7 +171,7 @@
 		if misses > 8 {
 			return
 		}
-		if j.phase != phaseLine {
+		if !j.isDue(now) {
 			continue
 		}
 		target, floor := m.selectBack(one, j, nil, now)
@@ -312,6 +331,9 @@
 		}
 		outs = append(outs, m.textOf(j, conn, floor))
 	}
+	if isTurn && j.isWrite {
+		j.turn.hasWrites = true
+	}
 	j.legs = append(j.legs, held)
 	j.phase = phaseOut
 	conn.back.window.Take()
