Tell a fault by a failing test: an instance's leave is refused

Cause: a leave becomes an announcement that holds the instance's name and that it is gone; the schema asks every announcement for database, address, zone, role and leaving, and a synced one for calls, so each leave is answered 400. The node's own Take is ready for one without a database. Ruled out: filling the missing fields in the platform's folder: it does not know them. Conclusion: left to the schema's owner.

--- a/test.sh
+++ b/test.sh
@@ -15,4 +15,4 @@
 go test -race -count=1 -timeout 10m ./platform/... ./pooler/... ./proof/...
 go test -count=1 -timeout 10m ./proof/sim
 go run ./proof/cmd/prove -race -shape small -run calls,change,restart,primary-crash,primary-dark,control-kill,lose,settings,planted-kill,planted-unclean
-go run ./proof/cmd/prove -race -manner platform -run primary-crash,stop,control-kill,change,lose
+go run ./proof/cmd/prove -race -manner platform -run primary-crash,replace,stop,control-kill,change,lose
