--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -323,6 +323,16 @@
 	}
 }
 
+// Pid gives the process's id, 0 where it was never started.
+func (p *Process) Pid() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // Ended waits, for a bound, until the process has ended.
 func (p *Process) Ended(bound time.Duration) bool {
 	p.mutex.Lock()
--- /dev/null
+++ b/proof/scale/hollow.go
@@ -0,0 +1,395 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tansyseam.example/pooler/coordination/lease"
+	"tansyseam.example/pooler/coordination/member"
+	"tansyseam.example/pooler/coordination/rendezvous"
+	"tansyseam.example/pooler/coordination/serve"
+	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/link"
+	"tansyseam.example/pooler/transport/run"
+)
+
+type hollow struct {
+	herd    *herd
+	crew    *run.Crew
+	counts  *run.Counters
+	hub     *link.Hub
+	homes   map[string]bool
+	targets []string
+	toSeeds []string
+
+	mutex    sync.Mutex
+	self     view.Node
+	serve    *serve.Machine
+	primary  string
+	isCut    bool
+	shownAt  map[uint64]time.Time
+	openAt   map[string]time.Time
+	began    time.Time
+	leasedAt time.Time
+	unleased time.Duration
+	lastSeen time.Time
+}
+
+type herd struct {
+	world *world
+	seeds []string
+	known int
+
+	mutex   sync.Mutex
+	nodes   []*hollow
+	reals   map[string]view.Node
+	realsAt map[string]time.Time
+	down    map[string]downed
+	gossip  []view.Node
+	doubts  []member.Suspicion
+	watches map[string][]string
+	names   []string
+
+	asks     atomic.Int64
+	misses   atomic.Int64
+	gossiped atomic.Int64
+	heard    atomic.Int64
+	passed   atomic.Int64
+}
+
+type downed struct {
+	node view.Node
+	at   time.Time
+}
+
+func newHerd(w *world, seeds []string, known int) *herd {
+	msg.Register()
+	return &herd{world: w, seeds: seeds, known: known, reals: map[string]view.Node{}, realsAt: map[string]time.Time{}, down: map[string]downed{}, watches: map[string][]string{}}
+}
+
+func (h *herd) add(name, zone, address string, homes map[string]bool) (*hollow, error) {
+	node := &hollow{
+		herd: h, crew: run.NewCrew(), counts: &run.Counters{}, homes: homes,
+		self: view.Node{
+			Name: name, Kind: view.KindData, Zone: zone, Link: address, Door: address, Birth: time.Now().UnixNano(), Version: link.Version, Weight: 1,
+		},
+		serve: serve.New(name, lease.DefaultTiming()), shownAt: map[uint64]time.Time{}, openAt: map[string]time.Time{}, began: time.Now(),
+	}
+	node.hub = link.New(name, address, node.crew, node.counts, node.hear)
+	return node, node.hub.Listen()
+}
+
+func (h *herd) beat() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	list := make([]view.Node, 0, len(h.nodes)+len(h.reals))
+	for _, node := range h.told() {
+		if _, isDown := h.down[node.self.Name]; isDown {
+			continue
+		}
+		node.mutex.Lock()
+		node.self.Beat = uint64(time.Since(node.began)/member.DefaultTiming().Beat) + 1
+		list = append(list, node.self)
+		node.mutex.Unlock()
+	}
+	h.doubts = nil
+	for name, real := range h.reals {
+		list = append(list, real)
+		h.doubt(name, downed{node: real, at: h.realsAt[name]})
+	}
+	for name, gone := range h.down {
+		list = append(list, gone.node)
+		h.doubt(name, gone)
+	}
+	h.gossip = list
+}
+
+func (h *herd) doubt(name string, gone downed) {
+	if gone.at.IsZero() || time.Since(gone.at) < member.DefaultTiming().Silence {
+		return
+	}
+	for _, by := range h.watches[name] {
+		h.doubts = append(h.doubts, member.Suspicion{Node: name, By: by, Beat: gone.node.Beat, Born: gone.node.Birth})
+	}
+}
+
+func (h *herd) tell(from view.Node, isReply bool) member.Gossip {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return member.Gossip{From: from, Nodes: h.gossip, Suspicions: h.doubts, IsReply: isReply}
+}
+
+func (h *herd) told() []*hollow {
+	if h.known == 0 {
+		return h.nodes
+	}
+	return h.nodes[:min(h.known, len(h.nodes))]
+}
+
+func (h *herd) plan(reals map[string]string) {
+	var names []string
+	for _, node := range h.told() {
+		names = append(names, node.self.Name)
+	}
+	for name := range reals {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	byName := map[string]*hollow{}
+	for _, node := range h.told() {
+		byName[node.self.Name] = node
+	}
+	h.names = names
+	for name, address := range reals {
+		for _, watcher := range rendezvous.Select(names, name, member.Watchers) {
+			if node := byName[watcher]; node != nil {
+				node.targets = append(node.targets, address)
+				h.watches[name] = append(h.watches[name], watcher)
+			}
+		}
+	}
+	for _, node := range h.told() {
+		for _, seed := range h.seeds {
+			if slices.ContainsFunc(h.nodes, func(other *hollow) bool { return other.self.Link == seed }) {
+				continue
+			}
+			node.toSeeds = append(node.toSeeds, seed)
+		}
+	}
+}
+
+func (n *hollow) start() {
+	n.crew.Go(n.askNews)
+	n.crew.Loop(nil, member.DefaultTiming().Beat, n.gossip)
+}
+
+func (n *hollow) stop() {
+	n.crew.Stop(2 * time.Second)
+	n.hub.Close()
+}
+
+func (n *hollow) now() time.Duration { return n.crew.Now() }
+
+func (n *hollow) entry() view.Node {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.self
+}
+
+func (n *hollow) gossip() {
+	self := n.entry()
+	targets := n.targets
+	if self.Beat%8 == uint64(len(self.Name)+int(self.Name[len(self.Name)-1]))%8 {
+		targets = append(slices.Clone(targets), n.toSeeds...)
+	}
+	for _, address := range targets {
+		if n.isBarred(address) {
+			continue
+		}
+		n.herd.gossiped.Add(1)
+		n.hub.Send(address, n.herd.tell(self, false))
+	}
+}
+
+func (n *hollow) isBarred(address string) bool {
+	n.mutex.Lock()
+	isCut, region := n.isCut, regionOf(n.self.Zone)
+	n.mutex.Unlock()
+	if !isCut {
+		return false
+	}
+	n.herd.mutex.Lock()
+	defer n.herd.mutex.Unlock()
+	for _, real := range n.herd.reals {
+		if real.Link == address {
+			return regionOf(real.Zone) != region
+		}
+	}
+	return false
+}
+
+func (n *hollow) hear(_ string, body any, answer func(any)) {
+	if gossip, isGossip := body.(member.Gossip); isGossip {
+		n.herd.heard.Add(1)
+		if n.isBarred(gossip.From.Link) {
+			return
+		}
+		n.herd.mutex.Lock()
+		if gossip.From.Beat >= n.herd.reals[gossip.From.Name].Beat || gossip.From.Birth > n.herd.reals[gossip.From.Name].Birth {
+			n.herd.reals[gossip.From.Name], n.herd.realsAt[gossip.From.Name] = gossip.From, time.Now()
+		}
+		n.herd.mutex.Unlock()
+		if !gossip.IsReply {
+			n.herd.gossiped.Add(1)
+			n.hub.Send(gossip.From.Link, n.herd.tell(n.entry(), true))
+		}
+		return
+	}
+	if pass, isPass := body.(msg.PassNews); isPass {
+		n.herd.passed.Add(1)
+		n.mutex.Lock()
+		primary := n.primary
+		n.mutex.Unlock()
+		address := n.addressOf(primary)
+		if address == "" || n.isBarred(address) {
+			return
+		}
+		if reply, err := n.hub.Call(address, pass.Ask, 500*time.Millisecond); err == nil {
+			answer(reply)
+		}
+	}
+}
+
+func (n *hollow) addressOf(name string) string {
+	n.herd.mutex.Lock()
+	defer n.herd.mutex.Unlock()
+	return n.herd.reals[name].Link
+}
+
+func (n *hollow) controls() []string {
+	n.herd.mutex.Lock()
+	defer n.herd.mutex.Unlock()
+	var list []string
+	for _, real := range n.herd.reals {
+		if real.Kind == view.KindControl {
+			list = append(list, real.Link)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (n *hollow) askNews() {
+	for misses := 0; !n.crew.IsStopping(); {
+		if n.askOnce(misses) {
+			misses = 0
+			continue
+		}
+		misses++
+		run.Await(n.crew.Stopping(), 30*time.Millisecond)
+	}
+}
+
+func (n *hollow) askOnce(misses int) bool {
+	n.mutex.Lock()
+	primary := n.primary
+	n.mutex.Unlock()
+	address, others := n.addressOf(primary), n.controls()
+	if len(others) == 0 {
+		return false
+	}
+	if address == "" || misses%3 == 2 {
+		address = others[misses%len(others)]
+	}
+	if n.isBarred(address) {
+		return false
+	}
+	live := n.herd.world.live()
+	n.mutex.Lock()
+	for _, instance := range live {
+		if n.homes == nil || n.homes[instance.Database] {
+			n.serve.Announced(instance, n.now())
+		}
+	}
+	ask := n.serve.Ask(n.now(), nil)
+	n.mutex.Unlock()
+	sent := n.now()
+	n.herd.asks.Add(1)
+	reply, err := n.hub.Call(address, ask, 600*time.Millisecond)
+	news, isOne := reply.(steer.News)
+	if err != nil || !isOne || n.isBarred(address) {
+		n.herd.misses.Add(1)
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.primary = news.Record.Primary
+	if !news.IsPrimary {
+		return false
+	}
+	n.serve.Take(news, sent, n.now())
+	return true
+}
+
+func (n *hollow) look(at time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	if !n.serve.IsLeased(now) {
+		if !n.lastSeen.IsZero() {
+			n.unleased += at.Sub(n.lastSeen)
+		}
+		n.leasedAt = time.Time{}
+		n.lastSeen = at
+		return
+	}
+	if n.leasedAt.IsZero() {
+		n.leasedAt = at
+	}
+	n.lastSeen = at
+	if set, _ := n.serve.Effective(now); n.shownAt[set.Sequence].IsZero() {
+		n.shownAt[set.Sequence] = at
+	}
+	writer := n.serve.Writer(databaseName(0))
+	key := fmt.Sprintf("%d/%s", writer.Term, writer.Phase)
+	if n.openAt[key].IsZero() {
+		n.openAt[key] = at
+	}
+}
+
+func (h *herd) look() {
+	h.mutex.Lock()
+	nodes := slices.Clone(h.nodes)
+	h.mutex.Unlock()
+	at := time.Now()
+	for _, node := range nodes {
+		node.look(at)
+	}
+}
+
+func (h *herd) each(act func(*hollow)) {
+	h.mutex.Lock()
+	nodes := slices.Clone(h.nodes)
+	h.mutex.Unlock()
+	for _, node := range nodes {
+		node.mutex.Lock()
+		act(node)
+		node.mutex.Unlock()
+	}
+}
+
+func (h *herd) count(is func(*hollow) bool) int {
+	count := 0
+	h.each(func(node *hollow) {
+		if is(node) {
+			count++
+		}
+	})
+	return count
+}
+
+func (h *herd) restart(old *hollow, rest time.Duration) (*hollow, error) {
+	self := old.entry()
+	h.mutex.Lock()
+	h.down[self.Name] = downed{node: self, at: time.Now()}
+	h.watches[self.Name] = rendezvous.Select(h.names, self.Name, member.Watchers)
+	h.mutex.Unlock()
+	old.stop()
+	run.Await(make(chan struct{}), rest)
+	fresh, err := h.add(self.Name, self.Zone, self.Link, old.homes)
+	if err != nil {
+		return nil, err
+	}
+	fresh.targets, fresh.toSeeds = old.targets, old.toSeeds
+	h.mutex.Lock()
+	delete(h.down, self.Name)
+	h.nodes[slices.Index(h.nodes, old)] = fresh
+	h.mutex.Unlock()
+	fresh.start()
+	return fresh, nil
+}
--- /dev/null
+++ b/proof/scale/real.go
@@ -0,0 +1,129 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"tansyseam.example/pooler/cmd/control"
+	product "tansyseam.example/pooler/cmd/fleet"
+	"tansyseam.example/pooler/cmd/settings"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/proof/fleet"
+)
+
+type real struct {
+	name, kind, zone, link, door string
+	process                      *fleet.Process
+	inside                       *product.Node
+}
+
+type begin func(place settings.Settings, kind string) (*real, error)
+
+func processes(bin, folder string) begin {
+	return func(place settings.Settings, kind string) (*real, error) {
+		args := []string{
+			"--name", place.Name, "--zone", place.Zone, "--link", place.Link, "--door", place.Door,
+			"--seeds", strings.Join(place.Seeds, ","), "--log-level", "warn",
+		}
+		if kind == view.KindControl {
+			args = append(args, "--data", place.Data, "--disks", fmt.Sprint(place.Disks), "--platform", place.Platform)
+		}
+		made := &real{name: place.Name, kind: kind, zone: place.Zone, link: place.Link, door: place.Door}
+		made.process = &fleet.Process{Name: place.Name, Program: filepath.Join(bin, kind), Args: args, Link: place.Link, Door: place.Door}
+		return made, made.process.Start(folder)
+	}
+}
+
+func inside(place settings.Settings, kind string) (*real, error) {
+	made := &real{name: place.Name, kind: kind, zone: place.Zone, link: place.Link, door: place.Door}
+	node, err := product.New(kind, place, hclog.NewNullLogger())
+	if err != nil {
+		return nil, err
+	}
+	made.inside = node
+	program, err := control.Open(node, place, func(error) {})
+	if err != nil {
+		return nil, err
+	}
+	if err := node.Start(); err != nil {
+		return nil, err
+	}
+	program.Start()
+	return made, nil
+}
+
+func (r *real) kill() {
+	if r.process != nil {
+		r.process.Kill()
+		return
+	}
+	r.inside.Stop()
+}
+
+func (r *real) usage() (Usage, error) {
+	if r.process == nil {
+		return Usage{At: time.Now()}, nil
+	}
+	return UsageOf(r.process.Pid())
+}
+
+var caller = &http.Client{Timeout: 10 * time.Second}
+
+func post(door, path string, body any) (int, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := caller.Post("http://"+door+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	return response.StatusCode, raw, err
+}
+
+func (r *real) counters() map[string]int64 {
+	if r.inside != nil {
+		return r.inside.Counts.Read()
+	}
+	var told struct {
+		Counters map[string]int64 `json:"counters"`
+	}
+	_, raw, err := post(r.door, "/v1/counters", map[string]any{})
+	if err != nil || json.Unmarshal(raw, &told) != nil {
+		return map[string]int64{}
+	}
+	return told.Counters
+}
+
+type vitals struct {
+	Epoch    uint64 `json:"epoch"`
+	Primary  string `json:"primary"`
+	Backup   string `json:"backup"`
+	Sequence uint64 `json:"sequence"`
+	IsReady  bool   `json:"is_ready"`
+}
+
+func (r *real) vitals() (vitals, bool) {
+	var told vitals
+	_, raw, err := post(r.door, "/v1/vitals", map[string]any{})
+	return told, err == nil && json.Unmarshal(raw, &told) == nil
+}
+
+// Build compiles the programs that a trial starts.
+func Build(root, bin string) error {
+	if err := os.MkdirAll(bin, 0o755); err != nil {
+		return err
+	}
+	return fleet.Build(root, bin, false)
+}
--- /dev/null
+++ b/proof/scale/scale_test.go
@@ -0,0 +1,81 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/logging"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/cmd/start"
+	"tansyseam.example/pooler/coordination/member"
+)
+
+func init() {
+	logging.SetLogger(start.Silent{})
+	measured = time.Millisecond
+}
+
+func TestSmallFleet(t *testing.T) {
+	Convey("Hollow nodes beside real control machines follow a change, a promotion, a restart, a cut and a loss", t, func() {
+		size := Size{Nodes: 12, Databases: 4, Disks: 3, Steady: 500 * time.Millisecond, Patience: 20 * time.Second}
+		result := RunInside(size, t.TempDir())
+		So(result.Fault, ShouldBeEmpty)
+		So(result.IsSettled, ShouldBeTrue)
+		counts := map[string]int64{}
+		for _, event := range result.Events {
+			counts[event.Name] = event.Count
+		}
+		SoMsg("writes of a change, each sent to each node", counts[EventChange], ShouldBeBetweenOrEqual, 2, 8)
+		SoMsg("promote calls", counts[EventPrimary], ShouldEqual, 1)
+		SoMsg("nodes that hold: those without the control primary on their side", counts[EventHeld], ShouldEqual, 6)
+		SoMsg("nodes that go on", counts[EventElsewhere], ShouldEqual, 6)
+		SoMsg("nodes that catch up", counts[EventHealed], ShouldEqual, 6)
+		for _, name := range []string{EventRestart, EventLoss, EventStep} {
+			_, isTold := result.Event(name)
+			SoMsg(name, isTold, ShouldBeTrue)
+		}
+	})
+}
+
+func figureAt(take func(int) (Figure, error), size int) Figure {
+	figure, err := take(size)
+	So(err, ShouldBeNil)
+	So(figure.Bytes, ShouldBeGreaterThan, 0)
+	return figure
+}
+
+func TestMessagesPerUnit(t *testing.T) {
+	bounds := []struct {
+		name         string
+		take         func(int) (Figure, error)
+		small, large int
+		most         int64
+	}{
+		{"gossip for each node", beatOf, 30, 60, 110},
+		{"an ask for each instance", askOf, 30, 300, 120},
+		{"news for each database", newsOf, 10, 100, 260},
+		{"a state file for each database", writeOf, 10, 100, 800},
+	}
+	for _, bound := range bounds {
+		Convey("Bytes of "+bound.name+" stay bounded", t, func() {
+			small, large := figureAt(bound.take, bound.small), figureAt(bound.take, bound.large)
+			So((large.Bytes-small.Bytes)/int64(bound.large-bound.small), ShouldBeBetween, 0, bound.most)
+		})
+	}
+}
+
+func TestMessagesOfOneBeat(t *testing.T) {
+	Convey("A node tells as many others as watch each node, and now and then the seeds, however many nodes there are", t, func() {
+		for _, count := range []int{30, 120} {
+			machine, told := memberOf(count)
+			now, sends := time.Hour, 0
+			for beat := uint64(1); beat <= 8; beat++ {
+				now += member.DefaultTiming().Beat
+				machine.Step(told(beat), now)
+				sends += len(machine.Step(member.Tick{}, now))
+			}
+			So(sends, ShouldBeBetweenOrEqual, 8, 8*3*member.Watchers)
+		}
+	})
+}
--- /dev/null
+++ b/proof/scale/statements.go
@@ -0,0 +1,107 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"tansyseam.example/pooler/transport/run"
+)
+
+const (
+	sessionsOpened = 2000
+	lanes          = 8
+)
+
+type session struct {
+	client *http.Client
+	id     string
+}
+
+func (s session) call(door, path string, body any, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Post("http://"+door+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %d %s", path, response.StatusCode, raw)
+	}
+	return json.Unmarshal(raw, into)
+}
+
+func (t *Trial) statements() error {
+	if t.probe == nil || t.size.Databases < 2 || t.size.Homes > 0 {
+		return nil
+	}
+	if _, err := t.until(t.size.Patience, "real node ready", func() bool {
+		told, isGood := t.probe.vitals()
+		return isGood && told.IsReady
+	}); err != nil {
+		return err
+	}
+	before, err := t.probe.usage()
+	if err != nil {
+		return err
+	}
+	var sessions []session
+	for number := range sessionsOpened {
+		one := session{client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 1}}}
+		var told struct {
+			Session string `json:"session"`
+		}
+		binding := "use-" + databaseName(1+number%min(t.size.Databases-1, mostBindings-1))
+		if err := one.call(t.probe.door, "/v1/session/open", map[string]any{"binding": binding}, &told); err != nil {
+			return err
+		}
+		one.id = told.Session
+		sessions = append(sessions, one)
+	}
+	opened, err := t.probe.usage()
+	if err != nil {
+		return err
+	}
+	var made, failed atomic.Int64
+	crew := run.NewCrew()
+	for lane := range lanes {
+		crew.Go(func() {
+			for at := lane; !crew.IsStopping(); at += lanes {
+				one := sessions[at%len(sessions)]
+				var told map[string]any
+				body := map[string]any{"session": one.id, "kind": "read", "text": "select 1"}
+				if one.call(t.probe.door, "/v1/statement", body, &told) != nil {
+					failed.Add(1)
+				}
+				made.Add(1)
+			}
+		})
+	}
+	run.Await(make(chan struct{}), 3*time.Second)
+	crew.Stop(6 * time.Second)
+	after, err := t.probe.usage()
+	if err != nil {
+		return err
+	}
+	for _, one := range sessions {
+		one.client.CloseIdleConnections()
+	}
+	idle, _ := t.result.Role(RoleNode)
+	span := after.At.Sub(opened.At).Seconds()
+	busy := (after.Processor - opened.Processor).Seconds() - idle.Core*span
+	note := fmt.Sprintf("%.0f statements a second, %d failed, %.0f us of a core each; %.1f KB of memory a session",
+		float64(made.Load())/span, failed.Load(), busy*1e6/float64(max(made.Load(), 1)), float64(opened.Memory-before.Memory)/1000/sessionsOpened)
+	t.result.Events = append(t.result.Events, Event{Name: EventStatement, Note: note})
+	return nil
+}
--- /dev/null
+++ b/proof/scale/trial.go
@@ -0,0 +1,722 @@
+// Package scale measures what each role of a fleet costs as it grows: the
+// product's machines alone, and whole fleets of hollow data nodes beside real
+// processes. A hollow node is a data node without doors, sessions or
+// statements; its link, its lease and what it holds of the control state are
+// the product's own. Hollow nodes gossip with real ones only: what they would
+// tell each other they read from what they share. Instances and the platform
+// are hollow, too.
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tansyseam.example/pooler/cmd/settings"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/run"
+)
+
+// Size is one whole fleet that is tried.
+type Size struct {
+	Nodes, Databases int
+	// Homes is how many nodes of each zone report on a database; 0 for all
+	// nodes, as the product has it.
+	Homes int
+	// Known is how many hollow nodes gossip tells the real ones of; 0 for all,
+	// as the product has it.
+	Known int
+	// Disks is the count of control machines.
+	Disks int
+	// Steady is how long the fleet is measured while nothing happens, and
+	// Patience the bound of every wait.
+	Steady, Patience time.Duration
+}
+
+func (s Size) String() string { return fmt.Sprintf("%d nodes, %d databases", s.Nodes, s.Databases) }
+
+func (s Size) partOf() string {
+	text := ""
+	if s.Homes > 0 {
+		text = fmt.Sprintf("%d homes a zone", s.Homes)
+	}
+	if s.Known > 0 {
+		text += fmt.Sprintf(" gossip of %d", s.Known)
+	}
+	return none(strings.TrimSpace(text), text != "")
+}
+
+// Role is what one process used while nothing happened.
+type Role struct {
+	Name string
+	Rate
+	// Heard and Sent count messages a second on links, as the product counts
+	// them.
+	Heard, Sent float64
+}
+
+// Event is something that was done to the fleet, and when the nodes had
+// followed.
+type Event struct {
+	Name string
+	// Median and Last are over the nodes.
+	Median, Last time.Duration
+	// Count is of the control state's writes for a change, of nodes for a cut,
+	// and of promote calls for a primary.
+	Count int64
+	// Note tells what else was seen.
+	Note string
+}
+
+// Result is what a trial gave; Fault says why it ended before its end.
+type Result struct {
+	Size  Size
+	Fault string
+	// IsSettled says that all nodes came to serve.
+	IsSettled bool
+	Settled   time.Duration
+	Roles     []Role
+	Events    []Event
+	// Hollow is the use of the process that holds the hollow nodes, instances
+	// and platform.
+	Hollow Rate
+	// Asks is the asks a second of one node, Misses those without an answer.
+	Asks, Misses float64
+	// Announced is the announcements a second at one door.
+	Announced float64
+}
+
+// Event gives one by name.
+func (r Result) Event(name string) (Event, bool) {
+	at := slices.IndexFunc(r.Events, func(one Event) bool { return one.Name == name })
+	if at < 0 {
+		return Event{}, false
+	}
+	return r.Events[at], true
+}
+
+// Role gives one by name.
+func (r Result) Role(name string) (Role, bool) {
+	at := slices.IndexFunc(r.Roles, func(one Role) bool { return one.Name == name })
+	if at < 0 {
+		return Role{}, false
+	}
+	return r.Roles[at], true
+}
+
+// Trial is a fleet under way.
+type Trial struct {
+	size     Size
+	begin    begin
+	folder   string
+	crew     *run.Crew
+	world    *world
+	herd     *herd
+	places   map[string]settings.Settings
+	mutex    sync.Mutex
+	controls []*real
+	probe    *real
+	platform string
+	sequence uint64
+	puts     int
+	isHeavy  atomic.Bool
+	result   Result
+}
+
+var net24 atomic.Int64
+
+func loopback(group, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+int(net24.Load()+int64(os.Getpid()))%180, group+number/250, number%250+1)
+}
+
+const (
+	groupWorld   = 252
+	groupControl = 253
+	groupProbe   = 254
+	linkPort     = 17001
+	doorPort     = 17002
+	mostBindings = 1000
+)
+
+// Run tries one size with real processes of the programs in bin.
+func Run(size Size, bin, folder string) Result {
+	return play(size, processes(bin, folder), folder, true)
+}
+
+// RunInside tries one size with the control machines in this process.
+func RunInside(size Size, folder string) Result { return play(size, inside, folder, false) }
+
+func play(size Size, how begin, folder string, hasProbe bool) Result {
+	net24.Add(1)
+	t := &Trial{size: size, begin: how, folder: folder, crew: run.NewCrew(), places: map[string]settings.Settings{}, result: Result{Size: size}}
+	defer t.end()
+	t.fault(t.start(hasProbe))
+	if t.result.Fault == "" {
+		t.fault(t.settle())
+	}
+	for _, step := range []func() error{t.steady, t.change, t.promote, t.restart, t.view, t.statements, t.cut, t.loss} {
+		if t.result.IsSettled && !t.isHeavy.Load() {
+			t.fault(step())
+		}
+	}
+	return t.result
+}
+
+func (t *Trial) fault(err error) {
+	if err == nil {
+		return
+	}
+	if t.result.Fault != "" {
+		t.result.Fault += "; "
+	}
+	t.result.Fault += err.Error() + t.standing()
+}
+
+func (t *Trial) standing() string {
+	text := ""
+	for _, one := range t.controls {
+		told, isGood := one.vitals()
+		text += fmt.Sprintf("; %s", one.name)
+		if !isGood {
+			text += " does not answer"
+			continue
+		}
+		text += fmt.Sprintf(" in epoch %d of %s with %s", told.Epoch, told.Primary, told.Backup)
+	}
+	if t.herd == nil {
+		return text
+	}
+	return fmt.Sprintf("%s; %d of %d nodes hold a lease", text, t.herd.count(t.leased), len(t.herd.nodes))
+}
+
+func (t *Trial) end() {
+	for _, one := range t.reals() {
+		one.kill()
+	}
+	t.crew.Stop(5 * time.Second)
+	if t.herd != nil {
+		ends := run.NewCrew()
+		for _, node := range t.herd.nodes {
+			ends.Go(node.stop)
+		}
+		ends.Stop(20 * time.Second)
+	}
+	if t.world != nil {
+		t.world.close()
+	}
+}
+
+func (t *Trial) reals() []*real {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.probe == nil {
+		return slices.Clone(t.controls)
+	}
+	return append(slices.Clone(t.controls), t.probe)
+}
+
+func (t *Trial) set(change func()) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	change()
+}
+
+func address(group, number, port int) string {
+	return fmt.Sprintf("%s:%d", loopback(group, number), port)
+}
+
+func (t *Trial) start(hasProbe bool) error {
+	t.world = newWorld(t.size.Databases)
+	if err := t.world.open(loopback(groupWorld, 0)); err != nil {
+		return err
+	}
+	t.world.run(t.crew)
+	if err := t.openPlatform(); err != nil {
+		return err
+	}
+	hollows := t.size.Nodes
+	if hasProbe {
+		hollows--
+	}
+	seeds := []string{address(groupControl, 0, linkPort), address(groupControl, 1, linkPort), address(0, 0, linkPort)}
+	t.herd = newHerd(t.world, seeds, t.size.Known)
+	byZone := map[string][]string{}
+	for number := range hollows {
+		byZone[zoneOf(number)] = append(byZone[zoneOf(number)], hollowName(number))
+	}
+	if hasProbe {
+		byZone[zoneOf(0)] = append(byZone[zoneOf(0)], probeName)
+	}
+	homes := t.homes(byZone)
+	for number := range hollows {
+		node, err := t.herd.add(hollowName(number), zoneOf(number), address(0, number, linkPort), homes[hollowName(number)])
+		if err != nil {
+			return fmt.Errorf("hollow node %d: %w", number, err)
+		}
+		t.herd.nodes = append(t.herd.nodes, node)
+	}
+	reals := map[string]string{}
+	for number := range t.size.Disks {
+		name := fmt.Sprintf("seamc%d", number+1)
+		place := t.place(name, []string{"zone1", "zone4", "zone2", "zone5", "zone3"}[number%5], groupControl, number)
+		place.Data, place.Disks, place.Platform = filepath.Join(t.folder, name), t.size.Disks, t.platform
+		t.places[name], reals[name] = place, place.Link
+		t.herd.reals[name] = view.Node{Name: name, Kind: view.KindControl, Zone: place.Zone, Link: place.Link, Door: place.Door}
+	}
+	if hasProbe {
+		place := t.place(probeName, zoneOf(0), groupProbe, 0)
+		t.places[probeName], reals[probeName] = place, place.Link
+		t.herd.reals[probeName] = view.Node{Name: probeName, Kind: view.KindData, Zone: place.Zone, Link: place.Link, Door: place.Door}
+	}
+	t.herd.plan(reals)
+	t.herd.beat()
+	for number := range t.size.Disks {
+		name := fmt.Sprintf("seamc%d", number+1)
+		made, err := t.begin(t.places[name], view.KindControl)
+		if err != nil {
+			return err
+		}
+		t.set(func() { t.controls = append(t.controls, made) })
+		t.world.announce(t.crew, made.door, func(view.Instance) bool { return true })
+	}
+	if hasProbe {
+		made, err := t.begin(t.places[probeName], view.KindData)
+		if err != nil {
+			return err
+		}
+		t.set(func() { t.probe = made })
+		own := homes[probeName]
+		t.world.announce(t.crew, made.door, func(one view.Instance) bool { return own == nil || own[one.Database] })
+	}
+	for _, node := range t.herd.nodes {
+		node.start()
+	}
+	t.crew.Loop(nil, 250*time.Millisecond, t.herd.beat)
+	t.crew.Loop(nil, 10*time.Millisecond, t.herd.look)
+	t.crew.Loop(nil, time.Second, t.weigh)
+	return nil
+}
+
+const probeName = "seamd-probe"
+
+func hollowName(number int) string { return fmt.Sprintf("seamd-%04d", number) }
+
+func (t *Trial) place(name, zone string, group, number int) settings.Settings {
+	link, door := address(group, number, linkPort), address(group, number, doorPort)
+	return settings.Settings{
+		Name: name, Zone: zone, Link: link, Door: door, AdvertiseLink: link, AdvertiseDoor: door, Seeds: t.herd.seeds, Weight: 1, LogLevel: "warn",
+	}
+}
+
+func (t *Trial) homes(byZone map[string][]string) map[string]map[string]bool {
+	homes := map[string]map[string]bool{}
+	if t.size.Homes == 0 {
+		return homes
+	}
+	for _, names := range byZone {
+		for _, name := range names {
+			homes[name] = map[string]bool{}
+		}
+	}
+	for number := range t.size.Databases {
+		for _, name := range homesOf(byZone, databaseName(number), t.size.Homes) {
+			homes[name][databaseName(number)] = true
+		}
+	}
+	return homes
+}
+
+func (t *Trial) openPlatform() error {
+	listener, err := net.Listen("tcp", loopback(groupWorld, 1)+":0")
+	if err != nil {
+		return err
+	}
+	t.platform = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(t.world.promote)}
+	t.world.servers, t.world.listeners = append(t.world.servers, server), append(t.world.listeners, listener)
+	t.crew.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+func (t *Trial) weigh() {
+	used := int64(0)
+	if own, err := UsageOf(os.Getpid()); err == nil {
+		used = own.Memory
+	}
+	for _, one := range t.reals() {
+		if got, err := one.usage(); err == nil {
+			used += got.Memory
+		}
+	}
+	whole, err := memory()
+	if err == nil && used > whole/2 {
+		t.isHeavy.Store(true)
+	}
+}
+
+func memory() (int64, error) {
+	found, err := pairsOf("/proc/meminfo")
+	return found["MemTotal"] << 10, err
+}
+
+func (t *Trial) until(bound time.Duration, what string, isSo func() bool) (time.Duration, error) {
+	began := time.Now()
+	for !isSo() {
+		if t.isHeavy.Load() {
+			return 0, fmt.Errorf("%s: half of the machine's memory is used", what)
+		}
+		if time.Since(began) > bound {
+			return bound, fmt.Errorf("%s: not within %v", what, bound)
+		}
+		run.Await(make(chan struct{}), 5*time.Millisecond)
+	}
+	return time.Since(began), nil
+}
+
+func (t *Trial) bindings() []map[string]any {
+	var list []map[string]any
+	for number := range min(t.size.Databases, mostBindings) {
+		list = append(list, map[string]any{
+			"name": "use-" + databaseName(number), "database": databaseName(number), "freshness_ms": 1500 + t.puts,
+		})
+	}
+	return list
+}
+
+func (t *Trial) put() (int, string) {
+	t.puts++
+	body := map[string]any{"id": fmt.Sprintf("put-%d", t.puts), "expected": t.sequence, "bindings": t.bindings()}
+	for _, one := range t.controls {
+		status, raw, err := post(one.door, "/v1/bindings/put", body)
+		if err != nil {
+			continue
+		}
+		var told struct {
+			Sequence uint64 `json:"sequence"`
+		}
+		if json.Unmarshal(raw, &told) == nil && told.Sequence > 0 {
+			t.sequence = told.Sequence
+		}
+		return status, string(raw[:min(len(raw), 200)])
+	}
+	return 0, "no door answers"
+}
+
+func (t *Trial) leased(node *hollow) bool { return node.serve.IsLeased(node.now()) }
+
+func (t *Trial) settle() error {
+	began := time.Now()
+	told := ""
+	if _, err := t.until(t.size.Patience, "first set taken", func() bool {
+		status, why := t.put()
+		told = why
+		return status == http.StatusOK
+	}); err != nil {
+		return fmt.Errorf("%w: %s", err, told)
+	}
+	open := func(node *hollow) int {
+		count := 0
+		for _, writer := range node.serve.Doc().Writers {
+			if writer.Phase == view.PhaseOpen {
+				count++
+			}
+		}
+		return count
+	}
+	state := func() (leased, shown, opened int) {
+		t.herd.each(func(node *hollow) {
+			if t.leased(node) {
+				leased++
+			}
+			if !node.shownAt[t.sequence].IsZero() {
+				shown++
+			}
+			opened = max(opened, open(node))
+		})
+		return leased, shown, opened
+	}
+	_, err := t.until(t.size.Patience, "settled", func() bool {
+		leased, shown, opened := state()
+		return leased == len(t.herd.nodes) && shown == len(t.herd.nodes) && opened == t.size.Databases
+	})
+	t.result.Settled = time.Since(began)
+	if err != nil {
+		leased, shown, opened := state()
+		_ = t.steady()
+		return fmt.Errorf("%w: %d of %d nodes hold a lease, %d show the set, %d of %d databases have a writer", err, leased, len(t.herd.nodes), shown, opened, t.size.Databases)
+	}
+	t.result.IsSettled = true
+	return nil
+}
+
+type sample struct {
+	usage  Usage
+	counts map[string]int64
+}
+
+func (t *Trial) sample() map[string]sample {
+	taken := map[string]sample{}
+	for _, one := range t.reals() {
+		if used, err := one.usage(); err == nil {
+			taken[one.name] = sample{usage: used, counts: one.counters()}
+		}
+	}
+	return taken
+}
+
+func (t *Trial) primary() string {
+	for _, one := range t.controls {
+		if told, isGood := one.vitals(); isGood && told.Primary != "" {
+			return told.Primary
+		}
+	}
+	return ""
+}
+
+func (t *Trial) roleOf(name string) string {
+	for _, one := range t.controls {
+		told, isGood := one.vitals()
+		if !isGood {
+			continue
+		}
+		for named, role := range map[string]string{told.Primary: RolePrimary, told.Backup: RoleBackup} {
+			if named == name {
+				return role
+			}
+		}
+		break
+	}
+	if name == probeName {
+		return RoleNode
+	}
+	return RoleWitness
+}
+
+// Roles of the processes of a trial.
+const (
+	RolePrimary = "control primary"
+	RoleBackup  = "control backup"
+	RoleWitness = "witness"
+	RoleNode    = "node (real)"
+)
+
+func (t *Trial) steady() error {
+	before := t.sample()
+	own, _ := UsageOf(os.Getpid())
+	asks, misses, announced := t.herd.asks.Load(), t.herd.misses.Load(), t.world.announced.Load()
+	began := time.Now()
+	run.Await(make(chan struct{}), t.size.Steady)
+	after := t.sample()
+	span := time.Since(began).Seconds()
+	now, _ := UsageOf(os.Getpid())
+	t.result.Hollow = RateOf(own, now)
+	nodes := float64(len(t.herd.nodes))
+	t.result.Asks = float64(t.herd.asks.Load()-asks) / span / nodes
+	t.result.Misses = float64(t.herd.misses.Load()-misses) / span / nodes
+	t.result.Announced = float64(t.world.announced.Load()-announced) / span / float64(len(t.reals()))
+	for _, one := range t.reals() {
+		role := Role{Name: t.roleOf(one.name), Rate: RateOf(before[one.name].usage, after[one.name].usage)}
+		role.Heard = float64(after[one.name].counts["link_in"]-before[one.name].counts["link_in"]) / span
+		role.Sent = float64(after[one.name].counts["link_out"]-before[one.name].counts["link_out"]) / span
+		t.result.Roles = append(t.result.Roles, role)
+	}
+	return nil
+}
+
+func (t *Trial) event(name string, count int64, note string, at func(*hollow) time.Time, since time.Time, which func(*hollow) bool) {
+	var spans []time.Duration
+	t.herd.each(func(node *hollow) {
+		if which(node) {
+			spans = append(spans, at(node).Sub(since))
+		}
+	})
+	slices.Sort(spans)
+	one := Event{Name: name, Count: count, Note: note}
+	if len(spans) > 0 {
+		one.Median, one.Last = spans[len(spans)/2], spans[len(spans)-1]
+	}
+	t.result.Events = append(t.result.Events, one)
+}
+
+func all(*hollow) bool { return true }
+
+// Names of the events of a trial.
+const (
+	EventChange    = "change in force"
+	EventPrimary   = "primary changed"
+	EventRestart   = "restarted node back"
+	EventHeld      = "region cut: nodes of the other side hold"
+	EventElsewhere = "region cut: change in force on this side"
+	EventHealed    = "region cut: healed, change in force on the other side"
+	EventLoss      = "control primary lost: leased by the next"
+	EventStep      = "control primary lost: next backup in step"
+	EventView      = "shell: one node's part of the view"
+	EventStatement = "statements at the real node"
+)
+
+func (t *Trial) change() error {
+	primary := t.primary()
+	before := t.sample()[primary]
+	since := time.Now()
+	status, why := t.put()
+	if status != http.StatusOK {
+		return fmt.Errorf("change not taken: %d %s", status, why)
+	}
+	acknowledged := time.Since(since)
+	isShown := func(node *hollow) bool { return !node.shownAt[t.sequence].IsZero() }
+	if _, err := t.until(t.size.Patience, EventChange, func() bool { return t.herd.count(isShown) == len(t.herd.nodes) }); err != nil {
+		return err
+	}
+	run.Await(make(chan struct{}), time.Second)
+	after := t.sample()[primary]
+	writes := after.counts["state_writes"] - before.counts["state_writes"]
+	note := fmt.Sprintf("acknowledged after %d ms, %d writes", acknowledged.Milliseconds(), writes)
+	if role, isKnown := t.result.Role(RolePrimary); isKnown && before.usage.Read > 0 {
+		span := after.usage.At.Sub(before.usage.At).Seconds()
+		extra := float64(after.usage.Written-before.usage.Written) - role.Out*span
+		busy := (after.usage.Processor - before.usage.Processor).Seconds() - role.Core*span
+		note += fmt.Sprintf(", %.1f KB a node, %.0f ms of the primary's core", extra/1000/float64(t.size.Nodes), busy*1000)
+	}
+	t.event(EventChange, writes, note, func(node *hollow) time.Time { return node.shownAt[t.sequence] }, since, all)
+	return nil
+}
+
+func (t *Trial) promote() error {
+	since := time.Now()
+	t.world.kill(databaseName(0) + "-a")
+	isOpen := func(node *hollow) bool { return !node.openAt["2/"+view.PhaseOpen].IsZero() }
+	if _, err := t.until(t.size.Patience, EventPrimary, func() bool { return t.herd.count(isOpen) == len(t.herd.nodes) }); err != nil {
+		return err
+	}
+	t.event(EventPrimary, t.world.promoted.Load(), fmt.Sprintf("%d promote calls", t.world.promoted.Load()), func(node *hollow) time.Time { return node.openAt["2/"+view.PhaseOpen] }, since, all)
+	return nil
+}
+
+func (t *Trial) restart() error {
+	old := t.herd.nodes[len(t.herd.nodes)/2]
+	fresh, err := t.herd.restart(old, 500*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	since := fresh.began
+	isBack := func(node *hollow) bool {
+		return node == fresh && !node.leasedAt.IsZero() && !node.shownAt[t.sequence].IsZero()
+	}
+	if _, err := t.until(t.size.Patience, EventRestart, func() bool { return t.herd.count(isBack) == 1 }); err != nil {
+		return err
+	}
+	t.event(EventRestart, 1, "", func(node *hollow) time.Time { return node.shownAt[t.sequence] }, since, isBack)
+	return nil
+}
+
+func (t *Trial) view() error {
+	asked, note := t.controls[0], "control machine"
+	if t.probe != nil {
+		asked, note = t.probe, "real node"
+	}
+	since := time.Now()
+	status, raw, err := post(asked.door, "/v1/fleet", map[string]any{})
+	if err != nil || status != http.StatusOK {
+		return fmt.Errorf("%s: %d %v", EventView, status, err)
+	}
+	t.result.Events = append(t.result.Events, Event{
+		Name: EventView, Last: time.Since(since), Count: int64(len(raw)), Note: fmt.Sprintf("%s of a %s", bytesText(float64(len(raw))), note),
+	})
+	return nil
+}
+
+func (t *Trial) region(name string) string { return regionOf(t.places[name].Zone) }
+
+func (t *Trial) cut() error {
+	home := t.region(t.primary())
+	isFar := func(node *hollow) bool { return regionOf(node.self.Zone) != home }
+	isNear := func(node *hollow) bool { return !isFar(node) }
+	far, near := t.herd.count(isFar), t.herd.count(isNear)
+	since := time.Now()
+	t.herd.each(func(node *hollow) { node.isCut = isFar(node) })
+	isHolding := func(node *hollow) bool { return isFar(node) && !t.leased(node) }
+	held, err := t.until(t.size.Patience, EventHeld, func() bool { return t.herd.count(isHolding) == far })
+	if err != nil {
+		return err
+	}
+	t.result.Events = append(t.result.Events, Event{Name: EventHeld, Last: held, Count: int64(far), Note: fmt.Sprintf("%d of %d nodes hold", far, far+near)})
+	changed := time.Now()
+	if status, why := t.put(); status != http.StatusOK {
+		return fmt.Errorf("change in a cut region not taken: %d %s", status, why)
+	}
+	isShown := func(node *hollow) bool { return !node.shownAt[t.sequence].IsZero() }
+	if _, err := t.until(t.size.Patience, EventElsewhere, func() bool {
+		return t.herd.count(func(node *hollow) bool { return isNear(node) && isShown(node) }) == near
+	}); err != nil {
+		return err
+	}
+	shown := func(node *hollow) time.Time { return node.shownAt[t.sequence] }
+	t.event(EventElsewhere, int64(near), "", shown, changed, isNear)
+	healed := time.Now()
+	t.herd.each(func(node *hollow) { node.isCut = false })
+	if _, err := t.until(t.size.Patience, EventHealed, func() bool { return t.herd.count(isShown) == far+near }); err != nil {
+		return err
+	}
+	t.event(EventHealed, int64(far), fmt.Sprintf("cut for %d ms", healed.Sub(since).Milliseconds()), shown, healed, isFar)
+	return nil
+}
+
+func (t *Trial) loss() error {
+	lost := t.primary()
+	at := slices.IndexFunc(t.controls, func(one *real) bool { return one.name == lost })
+	if at < 0 {
+		return fmt.Errorf("no control primary is known")
+	}
+	var epoch uint64
+	t.herd.each(func(node *hollow) {
+		epoch = max(epoch, node.serve.Epoch())
+		node.unleased = 0
+	})
+	since := time.Now()
+	t.controls[at].kill()
+	gone := t.controls[at]
+	t.set(func() { t.controls = slices.Delete(t.controls, at, at+1) })
+	isNew := func(node *hollow) bool { return node.serve.Epoch() > epoch && t.leased(node) }
+	newAt := map[*hollow]time.Time{}
+	if _, err := t.until(t.size.Patience, EventLoss, func() bool {
+		now := time.Now()
+		return t.herd.count(func(node *hollow) bool {
+			if isNew(node) && newAt[node].IsZero() {
+				newAt[node] = now
+			}
+			return isNew(node)
+		}) == len(t.herd.nodes)
+	}); err != nil {
+		return err
+	}
+	longest, touched := time.Duration(0), 0
+	t.herd.each(func(node *hollow) {
+		longest = max(longest, node.unleased)
+		if node.unleased > 0 {
+			touched++
+		}
+	})
+	note := fmt.Sprintf("%d nodes without a lease in between, for %d ms at most", touched, longest.Milliseconds())
+	t.event(EventLoss, int64(touched), note, func(node *hollow) time.Time { return newAt[node] }, since, all)
+	made, err := t.begin(t.places[gone.name], view.KindControl)
+	if err != nil {
+		return err
+	}
+	t.set(func() { t.controls = append(t.controls, made) })
+	if _, err := t.until(t.size.Patience, EventStep, func() bool {
+		told, isGood := t.controls[0].vitals()
+		return isGood && told.Backup != "" && told.Primary != lost
+	}); err != nil {
+		return err
+	}
+	t.result.Events = append(t.result.Events, Event{Name: EventStep, Last: time.Since(since)})
+	return nil
+}
