End drawn troubles with the faults also in scripted runs of the simulator

The calm's moments moved with the callers' dice. Ruled out: the product; the primary did leave, and 1 write was rightly unknown. Change: what was drawn ends with the span of the faults; nothing else is mended in a scripted run. The checker and the test are as they were.

--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -342,6 +342,7 @@
 	if shape.Script == nil {
 		f.mend()
 	}
+	f.rest()
 	f.calm = append(f.calm, check.Span{From: int64(calm + 500*time.Millisecond), Until: int64(before)})
 	f.calm = append(f.calm, check.Span{From: int64(w.now + 12*time.Second), Until: int64(w.now + shape.Tail)})
 	f.closings = append(f.closings, check.Closing{
--- a/proof/sim/trouble.go
+++ b/proof/sim/trouble.go
@@ -441,6 +441,15 @@
 	})
 }
 
+// rest ends what was drawn for the time of the faults and would go on into the
+// calm, also in a scripted run, which mends nothing else.
+func (f *fleet) rest() {
+	f.isMended, f.ambushes = true, 0
+	for _, one := range f.instances {
+		one.leaving = 0
+	}
+}
+
 func (f *fleet) primaryOf(database string) *instance {
 	return f.instanceBy(f.nodes[0].hall.Serve().Writer(database).Primary)
 }
