Give the state with every turn, also to a machine without a vote

Change: one function tells turns. Test: every turn of every machine carries its state, seen failing without the change.

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -562,7 +562,7 @@
 
 func (m *Machine) dropBackup(now time.Duration, why string) {
 	m.shunned[m.ballots.Decided.Backup] = now + 4*m.timing.Primacy
-	m.emit(Turned{Record: m.ballots.Decided, Why: why, Table: m.safe})
+	m.turned(m.ballots.Decided, why)
 	m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
 }
 
--- a/pooler/coordination/epoch/founding_test.go
+++ b/pooler/coordination/epoch/founding_test.go
@@ -35,8 +35,9 @@
 		if answer, isOne := effect.(Answer); isOne {
 			c.answers[answer.Token] = answer
 		}
-		if _, isOne := effect.(Turned); isOne {
+		if turned, isOne := effect.(Turned); isOne {
 			c.turns++
+			So(turned.Table, ShouldNotBeNil)
 		}
 		if send, isOne := effect.(Send); isOne && c.up[send.To] && c.up[name] {
 			c.step(send.To, Heard{From: name, Body: send.Body})
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -214,7 +214,7 @@
 	m.saveIdentity()
 	m.isLost = false
 	m.grantAt = now
-	m.emit(Turned{Record: record, Why: "fleet formed", Table: m.safe})
+	m.turned(record, "fleet formed")
 }
 
 func (m *Machine) onStanding(from string, standing Standing, now time.Duration) {
@@ -258,7 +258,7 @@
 	m.emit(Clean{})
 	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.started = now
-	m.emit(Turned{Record: best.Decided, Why: "disk was lost; a majority told where things stand", Table: m.safe})
+	m.turned(best.Decided, "disk was lost; a majority told where things stand")
 }
 
 func (m *Machine) follow(standing Standing) {
@@ -270,7 +270,7 @@
 		return
 	}
 	m.outside = &standing
-	m.emit(Turned{Record: standing.Decided, Why: "told standing; this machine has no vote"})
+	m.turned(standing.Decided, "told standing; this machine has no vote")
 }
 
 func (m *Machine) adopt(record Record, now time.Duration, why string) {
@@ -297,7 +297,7 @@
 		m.shunned = map[string]time.Duration{}
 		m.safe = m.copy
 	}
-	m.emit(Turned{Record: record, Why: why, Table: m.safe})
+	m.turned(record, why)
 	if record.Primary == m.self {
 		m.renewed = now - m.timing.Renew
 		if !m.isUnpaired() {
@@ -564,3 +564,7 @@
 		m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self, Backup: from}, now)
 	}
 }
+
+func (m *Machine) turned(record Record, why string) {
+	m.emit(Turned{Record: record, Why: why, Table: m.safe})
+}
