Play eight line seeds under the race detector, not four

Cause: with roles moving sooner the first four seeds hold two moves of a writer role, and the test asks for more moves than half the seeds. Under the race detector alone fewer seeds were played. Change: eight seeds there; the bound stays, in proportion.

--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -54,7 +54,7 @@
 	Convey("Every rule holds under random troubles, by fixed seeds", t, func() {
 		count := uint64(16)
 		if isRace {
-			count = 4
+			count = 8
 		}
 		terms := uint64(0)
 		for _, result := range runManyLines(1, count, SmallLines(), LinePlant{}) {
