--- a/pooler/coordination/admit/admit_test.go
+++ b/pooler/coordination/admit/admit_test.go
@@ -130,3 +130,16 @@
 		So(x.Read().Window, ShouldEqual, 2)
 	})
 }
+
+func TestPeers(t *testing.T) {
+	Convey("The most nodes of the last minute count, and one that is back within it changes nothing", t, func() {
+		peers := Peers{Most: 1}
+		So(peers.Note(8, time.Hour), ShouldBeTrue)
+		So(peers.Note(7, time.Hour+time.Second), ShouldBeFalse)
+		So(peers.Note(8, time.Hour+2*time.Second), ShouldBeFalse)
+		So(peers.Note(9, time.Hour+3*time.Second), ShouldBeTrue)
+		So(peers.Note(3, time.Hour+62*time.Second), ShouldBeFalse)
+		So(peers.Note(3, time.Hour+64*time.Second), ShouldBeTrue)
+		So(peers.Most, ShouldEqual, 3)
+	})
+}
--- a/pooler/coordination/hall/hall.go
+++ b/pooler/coordination/hall/hall.go
@@ -332,11 +332,6 @@
 	used     time.Duration
 }
 
-type sizeAt struct {
-	at    time.Duration
-	count int
-}
-
 // Place is the node's own.
 type Place struct {
 	Name  string
@@ -366,8 +361,7 @@
 	polls     []poll
 	ids       uint64
 	spreads   uint64
-	peers     int
-	sizes     []sizeAt
+	peers     admit.Peers
 	swept     time.Duration
 	isLeaving bool
 	effects   []Effect
@@ -380,7 +374,7 @@
 		place: place, timing: timing, tuning: admit.Defaults(), count: count,
 		serve: serve.New(place.Name, lease.DefaultTiming()), goes: goes.New(place.Name, place.Birth, goes.DefaultTiming()),
 		names: dense.NewIndex(), backNames: dense.NewIndex(), consumers: map[string]*consumer{}, remotes: map[string][]*consumer{},
-		asks: map[string]int{}, seeks: map[string][]*Job{}, peers: 1,
+		asks: map[string]int{}, seeks: map[string][]*Job{}, peers: admit.Peers{Most: 1},
 	}
 	m.tuning.Beta = place.Beta
 	return m
@@ -555,29 +549,15 @@
 }
 
 func (m *Machine) size(count int, beta float64, now time.Duration) {
-	kept := m.sizes[:0]
-	most := max(count, 1)
-	for _, one := range m.sizes {
-		if now-one.at < time.Minute {
-			kept = append(kept, one)
-			most = max(most, one.count)
-		}
-	}
-	if len(kept) == 0 || kept[len(kept)-1].count != count {
-		kept = append(kept, sizeAt{now, count})
-	} else {
-		kept[len(kept)-1].at = now
-	}
-	m.sizes = kept
-	if most != m.peers || beta != m.tuning.Beta {
-		m.peers, m.tuning.Beta = most, beta
+	if isNew := m.peers.Note(count, now); isNew || beta != m.tuning.Beta {
+		m.tuning.Beta = beta
 		for _, held := range m.backs {
 			m.retune(held)
 		}
 	}
 }
 
-func (m *Machine) share(held *back) int { return max(held.sight.Info.Connections/(m.peers+1), 1) }
+func (m *Machine) share(held *back) int { return max(held.sight.Info.Connections/(m.peers.Most+1), 1) }
 
 func (m *Machine) retune(held *back) { held.window.Retune(m.tuning.Beta, float64(m.share(held))) }
 
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -317,11 +317,6 @@
 	isDropped bool
 }
 
-type sizeAt struct {
-	at    time.Duration
-	count int
-}
-
 // Machine is one node's state. It does no I/O and has no clock.
 type Machine struct {
 	place     Place
@@ -338,12 +333,10 @@
 	guests    []*Client
 	ranks     uint64
 	roll      steer.Roll
-	peers     int
-	sizes     []sizeAt
+	peers     admit.Peers
 	leftAt    time.Duration
 	looked    time.Duration
 	isLeaving bool
-	told      bool
 	effects   []Effect
 }
 
@@ -352,7 +345,7 @@
 func New(place Place, timing Timing, leases lease.Timing, count func(string, int64)) *Machine {
 	m := &Machine{
 		place: place, timing: timing, tuning: admit.Defaults(), count: count, serve: serve.New(place.Name, leases),
-		names: dense.NewIndex(), backNames: dense.NewIndex(), clients: map[*Client]bool{}, peers: 1,
+		names: dense.NewIndex(), backNames: dense.NewIndex(), clients: map[*Client]bool{}, peers: admit.Peers{Most: 1},
 	}
 	m.tuning.Beta = place.Beta
 	return m
@@ -446,29 +439,15 @@
 }
 
 func (m *Machine) size(count int, beta float64, now time.Duration) {
-	kept := m.sizes[:0]
-	most := max(count, 1)
-	for _, one := range m.sizes {
-		if now-one.at < time.Minute {
-			kept = append(kept, one)
-			most = max(most, one.count)
-		}
-	}
-	if len(kept) == 0 || kept[len(kept)-1].count != count {
-		kept = append(kept, sizeAt{now, count})
-	} else {
-		kept[len(kept)-1].at = now
-	}
-	m.sizes = kept
-	if most != m.peers || beta != m.tuning.Beta {
-		m.peers, m.tuning.Beta = most, beta
+	if isNew := m.peers.Note(count, now); isNew || beta != m.tuning.Beta {
+		m.tuning.Beta = beta
 		for _, held := range m.backs {
 			m.retune(held)
 		}
 	}
 }
 
-func (m *Machine) share(held *back) int { return max(held.info.Connections/(m.peers+1), 1) }
+func (m *Machine) share(held *back) int { return max(held.info.Connections/(m.peers.Most+1), 1) }
 
 func (m *Machine) retune(held *back) { held.window.Retune(m.tuning.Beta, float64(m.share(held))) }
 
