Let the news of a set's moment bring a lease past it

Cause: leases were barred past the moment until its write was answered, but the news of it goes out when it is written; each node then held for 50 to 75 ms at every change. Change: the bar ends when the state with the moment is published. Test: seen failing ('460ms' not greater than '460ms').

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -243,6 +243,9 @@
 	before := m.doc
 	m.table = held
 	m.doc = view.DocOf(held)
+	if before.IsPending() && !m.doc.IsPending() && m.desk != nil {
+		m.desk.Thaw()
+	}
 	m.noteTerms(before)
 }
 
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -290,3 +290,22 @@
 		So(isHeld, ShouldBeTrue)
 	})
 }
+
+func TestMomentComesWithALease(t *testing.T) {
+	Convey("The news of a set's moment brings a lease past that moment, also before the write of it is answered", t, func() {
+		d := newDesk(3, table.New())
+		d.ask("d1", table.Stamp{}, false)
+		d.put(0)
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp, IsCut: true}, 5, d.now)
+		write, isDue := d.Land(d.wall, d.now)
+		So(isDue, ShouldBeTrue)
+		d.held = d.held.Clone()
+		d.held.Apply(table.Stamp{Epoch: 3, Sequence: d.held.Stamp.Sequence + 1}, write.Build(d.held))
+		d.Wrote(d.held)
+		So(d.Doc().IsPending(), ShouldBeFalse)
+		replies := d.Flush(true, d.wall, d.now)
+		So(len(replies), ShouldEqual, 1)
+		So(replies[0].News.Lease, ShouldBeGreaterThan, time.Duration(d.Doc().Newest().Moment-d.wall))
+		write.Done()
+	})
+}
