--- a/proof/scale/real.go
+++ b/proof/scale/real.go
@@ -125,5 +125,13 @@
 	if err := os.MkdirAll(bin, 0o755); err != nil {
 		return err
 	}
-	return fleet.Build(root, bin, false)
+	if err := fleet.Build(root, bin, false); err != nil {
+		return err
+	}
+	for _, program := range []string{view.KindControl, view.KindData} {
+		if _, err := os.Stat(filepath.Join(bin, program)); err != nil {
+			return fmt.Errorf("%q is not the workspace: %w", root, err)
+		}
+	}
+	return nil
 }
--- a/proof/scale/statements.go
+++ b/proof/scale/statements.go
@@ -74,6 +74,7 @@
 		return err
 	}
 	var made, failed atomic.Int64
+	first := make(chan error, 1)
 	crew := run.NewCrew()
 	for lane := range lanes {
 		crew.Go(func() {
@@ -81,8 +82,12 @@
 				one := sessions[at%len(sessions)]
 				var told map[string]any
 				body := map[string]any{"session": one.id, "kind": "read", "text": "select 1"}
-				if one.call(t.probe.door, "/v1/statement", body, &told) != nil {
+				if err := one.call(t.probe.door, "/v1/statement", body, &told); err != nil {
 					failed.Add(1)
+					select {
+					case first <- err:
+					default:
+					}
 				}
 				made.Add(1)
 			}
@@ -102,6 +107,9 @@
 	busy := (after.Processor - opened.Processor).Seconds() - idle.Core*span
 	note := fmt.Sprintf("%.0f statements a second, %d failed, %.0f us of a core each; %.1f KB of memory a session",
 		float64(made.Load())/span, failed.Load(), busy*1e6/float64(max(made.Load(), 1)), float64(opened.Memory-before.Memory)/1000/sessionsOpened)
-	t.result.Events = append(t.result.Events, Event{Name: EventStatement, Note: note})
+	if failed.Load() > 0 {
+		note += ": " + (<-first).Error()
+	}
+	t.result.Events = append(t.result.Events, Event{Name: EventStatement, Count: failed.Load(), Note: note})
 	return nil
 }
