--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"os"
 	"reflect"
@@ -21,6 +22,7 @@
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/member"
+	"tansyseam.example/pooler/protocol/door"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/protocol/schema"
 	"tansyseam.example/pooler/state/view"
@@ -49,6 +51,9 @@
 	Hub     *link.Hub
 	Book    *schema.Book
 	Program string
+	// Translate, where given, turns calls of another manner into the
+	// product's.
+	Translate door.Translate
 
 	mutex     sync.Mutex
 	members   *member.Machine
@@ -56,6 +61,10 @@
 	record    epoch.Record
 	place     settings.Settings
 	heard     func(view.Instance)
+	synced    func(view.Instance) (door string, isTaken bool)
+	sweptAt   time.Duration
+	found     map[string]view.Node
+	foundAt   time.Duration
 
 	calls   map[string]Call
 	listens map[reflect.Type]Listen
@@ -81,7 +90,7 @@
 		Name: place.Name, Kind: kind, Zone: place.Zone, Link: place.AdvertiseLink, Door: place.AdvertiseDoor,
 		Birth: time.Now().UnixNano(), Version: link.Version, Weight: place.Weight,
 	}
-	n.members = member.New(self, place.Seeds, member.DefaultTiming())
+	n.members = member.New(self, place.SeedLinks(), member.DefaultTiming())
 	n.Serve("/v1/announce", n.onAnnounce)
 	n.Serve("/v1/counters", func(*fastjson.Value, []byte, *http.Request) (int, any) {
 		return http.StatusOK, map[string]any{"node": place.Name, "counters": n.Counts.Read()}
@@ -111,6 +120,10 @@
 // OnInstance sets who hears of announcements.
 func (n *Node) OnInstance(act func(view.Instance)) { n.heard = act }
 
+// OnSynced sets who takes the announcements of synced instances to the control
+// primary; where nobody does they are refused.
+func (n *Node) OnSynced(act func(view.Instance) (door string, isTaken bool)) { n.synced = act }
+
 // Start opens link and door and begins to beat.
 func (n *Node) Start() error {
 	place := n.Place()
@@ -158,7 +171,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.place = place
-	n.members.Reseed(place.Seeds, place.Weight)
+	n.members.Reseed(place.SeedLinks(), place.Weight)
 }
 
 func (n *Node) step(event any) {
@@ -212,14 +225,22 @@
 	return n.members.Watched()
 }
 
-// Find gives a known node by name.
+const foundFor = 100 * time.Millisecond
+
+// Find gives a known node by name, as known a tenth of a second ago.
 func (n *Node) Find(name string) (view.Node, bool) {
-	for _, node := range n.Nodes("", member.IsLive, member.IsDead) {
-		if node.Name == name {
-			return node, true
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.Now()
+	node, isKnown := n.found[name]
+	if now-n.foundAt > foundFor || !isKnown {
+		n.found, n.foundAt = map[string]view.Node{}, now
+		for _, one := range n.members.Nodes(member.IsLive, member.IsDead) {
+			n.found[one.Name] = one
 		}
+		node, isKnown = n.found[name]
 	}
-	return view.Node{}, false
+	return node, isKnown
 }
 
 // Self gives this node's own entry.
@@ -265,45 +286,102 @@
 	return list
 }
 
-func (n *Node) onAnnounce(body *fastjson.Value, _ []byte, _ *http.Request) (int, any) {
-	instance := view.Instance{
-		Name: string(body.GetStringBytes("instance")), Database: string(body.GetStringBytes("database")),
-		Address: string(body.GetStringBytes("address")), Zone: string(body.GetStringBytes("zone")),
-		Role: string(body.GetStringBytes("role")), Birth: string(body.GetStringBytes("birth")),
-		Term:        body.GetUint64("term"),
-		Position:    view.Position{Term: body.GetUint64("position", "term"), Index: body.GetUint64("position", "index")},
-		IsLeaving:   body.GetBool("leaving"),
-		Connections: body.GetInt("connections"), Slots: body.GetInt("slots"),
-	}
+// Take notes what an instance says of itself; false where it belongs to
+// another database than it said before. A late call changes nothing.
+func (n *Node) Take(instance view.Instance) bool {
 	n.mutex.Lock()
 	before, isKnown := n.instances[instance.Name]
+	if instance.IsGone && instance.Database == "" {
+		if !isKnown {
+			n.mutex.Unlock()
+			return true
+		}
+		calls := before.Instance.Calls + 1
+		instance = before.Instance
+		instance.IsGone, instance.IsLeaving, instance.Calls = true, true, calls
+	}
 	if isKnown && instance.IsForeign(before.Instance) {
 		n.mutex.Unlock()
 		n.Counts.Add("announcements_foreign", 1)
-		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to database " + before.Instance.Database)
+		return false
 	}
 	now := n.Now()
-	heard := &Heard{Instance: instance, At: now}
-	n.instances[instance.Name] = heard
-	for name, other := range n.instances {
-		if now-other.At > 5*time.Minute {
-			delete(n.instances, name)
-		}
+	if isKnown && isLate(instance, *before, now) {
+		n.mutex.Unlock()
+		n.Counts.Add("announcements_late", 1)
+		return true
+	}
+	n.instances[instance.Name] = &Heard{Instance: instance, At: now}
+	if now > n.sweptAt+10*time.Second {
+		n.sweptAt = now
+		maps.DeleteFunc(n.instances, func(_ string, other *Heard) bool { return now-other.At > 5*time.Minute })
 	}
 	n.mutex.Unlock()
-	isTurned := !isKnown || before.Instance.Role != instance.Role || before.Instance.Birth != instance.Birth || before.Instance.IsLeaving != instance.IsLeaving
+	isTurned := !isKnown || before.Instance.Role != instance.Role || before.Instance.Birth != instance.Birth ||
+		before.Instance.IsLeaving != instance.IsLeaving || before.Instance.IsGone != instance.IsGone
 	if isTurned {
-		n.Log.Info("instance", "instance", instance.Name, "role", instance.Role, "term", instance.Term, "leaving", instance.IsLeaving)
+		n.Log.Info("instance", "instance", instance.Name, "role", instance.Role, "term", instance.Term, "leaving", instance.IsLeaving, "gone", instance.IsGone)
 	}
 	n.Counts.Add("announcements", 1)
 	if n.heard != nil {
 		n.heard(instance)
 	}
-	var doors []string
+	return true
+}
+
+const countsAnew = 5 * time.Second
+
+func isLate(instance view.Instance, before Heard, now time.Duration) bool {
+	isBehind := instance.IsSynced && instance.Calls <= before.Instance.Calls
+	return isBehind && (before.Instance.IsGone || now-before.At < countsAnew)
+}
+
+func (n *Node) onAnnounce(body *fastjson.Value, _ []byte, _ *http.Request) (int, any) {
+	instance := view.Instance{
+		Name: string(body.GetStringBytes("instance")), Database: string(body.GetStringBytes("database")),
+		Address: string(body.GetStringBytes("address")), Zone: string(body.GetStringBytes("zone")),
+		Role: string(body.GetStringBytes("role")), Birth: string(body.GetStringBytes("birth")),
+		Term:        body.GetUint64("term"),
+		Position:    view.Position{Term: body.GetUint64("position", "term"), Index: body.GetUint64("position", "index")},
+		IsLeaving:   body.GetBool("leaving"),
+		Connections: body.GetInt("connections"), Slots: body.GetInt("slots"),
+		IsSynced: body.GetBool("synced"), IsGone: body.GetBool("gone"), Calls: body.GetUint64("calls"),
+	}
+	return n.Announce(instance)
+}
+
+// Announce takes an instance's announcement and gives the answer to it.
+func (n *Node) Announce(instance view.Instance) (int, any) {
+	answer := map[string]any{}
+	isTaken := true
+	if instance.IsSynced {
+		door, isPassed := n.passOn(instance)
+		if !isPassed {
+			refusal := Refuse("no control primary took the announcement")
+			refusal.Outcome, refusal.Retry = "unknown", 500
+			return http.StatusServiceUnavailable, refusal
+		}
+		answer["door"] = door
+	}
+	if !instance.IsSynced || n.synced == nil {
+		isTaken = n.Take(instance)
+	}
+	if !isTaken {
+		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to another database")
+	}
+	doors := []string{}
 	for _, node := range n.Nodes("", member.IsLive) {
 		doors = append(doors, node.Door)
 	}
-	return http.StatusOK, map[string]any{"nodes": doors}
+	answer["nodes"] = doors
+	return http.StatusOK, answer
+}
+
+func (n *Node) passOn(instance view.Instance) (string, bool) {
+	if n.synced == nil {
+		return "", false
+	}
+	return n.synced(instance)
 }
 
 // Refusal is the body of a call that was not taken.
@@ -329,37 +407,56 @@
 		_, _ = w.Write(schema.File())
 		return
 	}
-	call, isKnown := n.calls[r.URL.Path]
-	if !isKnown {
-		n.Write(w, http.StatusNotFound, Refuse("no such call: "+r.URL.Path))
-		return
-	}
 	raw, isWhole := web.ReadBody(r)
 	if !isWhole {
 		n.Counts.Add("calls_oversized", 1)
 		n.Write(w, http.StatusRequestEntityTooLarge, Refuse("body too large"))
 		return
 	}
-	body, faults := n.Book.Request(r.URL.Path, raw)
+	path := r.URL.Path
+	turn := func(status int, answer []byte) (int, []byte) { return status, answer }
+	if n.Translate != nil {
+		if told, isOne := n.Translate(r.Method, path, raw); isOne {
+			path, raw = told.Path, told.Body
+			if told.Answer != nil {
+				turn = told.Answer
+			}
+		}
+	}
+	status, answer := n.call(path, raw, r)
+	data, status := n.encode(status, answer)
+	status, data = turn(status, data)
+	n.Write(w, status, data)
+}
+
+func (n *Node) call(path string, raw []byte, r *http.Request) (int, any) {
+	call, isKnown := n.calls[path]
+	if !isKnown {
+		return http.StatusNotFound, Refuse("no such call: " + path)
+	}
+	body, faults := n.Book.Request(path, raw)
 	if len(faults) > 0 {
 		n.Counts.Add("calls_bad_shape", 1)
-		n.Write(w, http.StatusBadRequest, Refuse("the call does not have the shape that the schema gives it", faults...))
-		return
+		return http.StatusBadRequest, Refuse("the call does not have the shape that the schema gives it", faults...)
 	}
-	status, answer := call(body, raw, r)
-	n.Write(w, status, answer)
+	return call(body, raw, r)
+}
+
+func (n *Node) encode(status int, answer any) ([]byte, int) {
+	if data, isRaw := answer.([]byte); isRaw {
+		return data, status
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		n.Counts.Add("answer_encode_faults", 1)
+		return []byte(`{"error":"answer could not be written","faults":[]}`), http.StatusInternalServerError
+	}
+	return data, status
 }
 
 // Write sends an answer.
 func (n *Node) Write(w http.ResponseWriter, status int, answer any) {
-	data, isRaw := answer.([]byte)
-	if !isRaw {
-		var err error
-		if data, err = json.Marshal(answer); err != nil {
-			n.Counts.Add("answer_encode_faults", 1)
-			status, data = http.StatusInternalServerError, []byte(`{"error":"answer could not be written","faults":[]}`)
-		}
-	}
+	data, status := n.encode(status, answer)
 	w.Header().Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable {
 		wait := time.Duration(fastjson.GetInt(data, "retry_after_ms")) * time.Millisecond
@@ -374,6 +471,9 @@
 func (n *Node) Primary() (string, []view.Node) {
 	record := n.Record()
 	nodes := n.Nodes(view.KindControl, member.IsLive)
+	if len(nodes) == 0 {
+		nodes = n.Nodes(view.KindControl, member.IsDead)
+	}
 	for _, node := range nodes {
 		if node.Name == record.Primary {
 			return node.Link, nodes
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -163,8 +163,12 @@
 		From string
 		Body any
 	}
-	// Peers tells the control nodes met so far.
-	Peers struct{ Names []string }
+	// Peers tells the control nodes met so far, and by link address, where
+	// that is known, which of them is met there.
+	Peers struct {
+		Names []string
+		Links map[string]string
+	}
 	// Submit asks for a write; Build sees the state at its turn and may
 	// give no puts.
 	Submit struct {
@@ -196,13 +200,19 @@
 		IsUnknown bool
 		Stamp     table.Stamp
 	}
-	// Turned tells a change of role or epoch, with its cause.
+	// Turned tells a change of role or epoch, with its cause and the state that
+	// is safe to publish at that point: later effects may still have to sync
+	// what Table gives.
 	Turned struct {
 		Record Record
 		Why    string
+		Table  *table.Table
 	}
 	// Wrote tells that the state changed and is safe.
-	Wrote struct{ Stamp table.Stamp }
+	Wrote struct {
+		Stamp table.Stamp
+		Table *table.Table
+	}
 )
 
 // Timing holds the machine's bounds.
@@ -234,10 +244,26 @@
 	stamp table.Stamp
 }
 
+// Founding says how a new fleet chooses its voters.
+type Founding struct {
+	// Disks is the exact number of disk machines that must be met, all of
+	// which vote; what follows counts only where it is 0.
+	Disks int
+	// Voters is how many vote; other disk machines follow.
+	Voters int
+	// IsFounder allows this machine to found a fleet while its disk is blank.
+	IsFounder bool
+	// Seeds are the link addresses behind which the voters are looked for.
+	Seeds []string
+	// IsPaired holds writes while the epoch names no backup, so that each
+	// acknowledged one is on two disks.
+	IsPaired bool
+}
+
 // Machine is the state of one disk machine. It does no I/O.
 type Machine struct {
 	self        string
-	disks       int
+	founding    Founding
 	timing      Timing
 	identity    *Identity
 	ballots     Ballots
@@ -247,6 +273,7 @@
 	started     time.Duration
 	isLost      bool
 	isUnsettled bool
+	isAhead     bool
 
 	life    int64
 	wall    int64
@@ -254,6 +281,9 @@
 	offset  int64
 	isSure  bool
 	peers   []string
+	links   map[string]string
+	many    time.Duration
+	outside *Standing
 	formed  map[string]bool
 	asked   time.Duration
 	stands  map[string]Standing
@@ -280,10 +310,16 @@
 // Effect is one of the effect types.
 type Effect any
 
-// New makes the machine from what its disk held.
+// New makes the machine of a fleet in which all disk machines vote, from what
+// its disk held.
 func New(self string, disks int, timing Timing, saved Saved, now time.Duration) *Machine {
+	return NewFounding(self, Founding{Disks: disks}, timing, saved, now)
+}
+
+// NewFounding makes the machine from what its disk held.
+func NewFounding(self string, founding Founding, timing Timing, saved Saved, now time.Duration) *Machine {
 	m := &Machine{
-		self: self, disks: disks, timing: timing, identity: saved.Identity, copy: table.New(),
+		self: self, founding: founding, timing: timing, identity: saved.Identity, copy: table.New(),
 		copies: saved.Copies, started: now, formed: map[string]bool{}, stands: map[string]Standing{},
 		acks: map[string]time.Duration{}, mutes: map[string]bool{}, walls: map[string]int64{},
 		shunned: map[string]time.Duration{},
@@ -296,13 +332,24 @@
 	}
 	m.safe = m.copy
 	m.isUnsettled = m.ballots.Voter.Promised.Name == self
+	decided := m.ballots.Decided
+	m.isAhead = decided.Primary == self && decided.Backup != "" && m.copy.Stamp.Epoch == decided.Epoch
 	m.isLost = saved.Identity == nil || (saved.Identity.IsFormed && (saved.Ballots == nil || saved.IsUnsound))
 	m.asked = -timing.Form
 	return m
 }
 
 // Record gives the epoch record last known.
-func (m *Machine) Record() Record { return m.ballots.Decided }
+func (m *Machine) Record() Record {
+	if m.outside != nil && m.identity == nil {
+		return m.outside.Decided
+	}
+	return m.ballots.Decided
+}
+
+// IsOutside says whether the machine was told of a fleet in which it has no
+// vote.
+func (m *Machine) IsOutside() bool { return m.outside != nil && m.identity == nil }
 
 // Table gives the state that is safe to publish, to be read only: it holds
 // no write that the backup may lack.
@@ -331,13 +378,19 @@
 	return m.identity.Cluster
 }
 
-// IsPrimary says whether primacy is held at this moment.
-func (m *Machine) IsPrimary(now time.Duration) bool {
-	return m.isNamed() && now < m.primacy
-}
+// IsPrimary says whether primacy is held at this moment, with a copy that is
+// safe to publish.
+func (m *Machine) IsPrimary(now time.Duration) bool { return m.hasPrimacy(now) && !m.isAhead }
+
+func (m *Machine) hasPrimacy(now time.Duration) bool { return m.isNamed() && now < m.primacy }
 
 // Primacy gives the moment until which primacy is held.
-func (m *Machine) Primacy() time.Duration { return m.primacy }
+func (m *Machine) Primacy() time.Duration {
+	if m.isAhead {
+		return 0
+	}
+	return m.primacy
+}
 
 // IsLost says whether the machine has lost its disk and not yet been told
 // where things stand.
@@ -370,7 +423,7 @@
 	}
 	slices.Sort(offsets)
 	median := offsets[(len(offsets)-1)/2]
-	if !m.IsPrimary(now) {
+	if !m.hasPrimacy(now) {
 		m.offset = median
 		m.isSure = len(offsets) > 2 || (len(offsets) == 2 && offsets[1]-offsets[0] < int64(clockTrip))
 		return
@@ -455,18 +508,18 @@
 		m.others(func(name string) { m.send(name, Renew{Record: m.ballots.Decided, Sent: now, Life: m.life}) })
 		m.reckon(now)
 	}
-	if m.pending != nil && m.round == nil && now-m.pending.sent > m.timing.Reply && now >= m.waitUntil {
+	if m.pending != nil && !m.isUnpaired() && m.round == nil && now-m.pending.sent > m.timing.Reply && now >= m.waitUntil {
 		m.dropBackup(now, "backup did not sync in time")
 	}
-	if m.round != nil || m.pending != nil {
+	decided := m.ballots.Decided
+	if m.round != nil || (m.pending != nil && !m.isUnpaired()) {
 		return
 	}
-	decided := m.ballots.Decided
-	if m.isUnsettled {
-		if now >= m.waitUntil && m.IsPrimary(now) {
+	if m.isUnsettled || m.isAhead {
+		if now >= m.waitUntil && m.hasPrimacy(now) {
 			m.propose(Record{Epoch: decided.Epoch + 1, Primary: m.self}, now)
 		}
-		if m.round != nil || m.IsPrimary(now) {
+		if m.round != nil || m.hasPrimacy(now) {
 			return
 		}
 	}
@@ -474,8 +527,12 @@
 		m.dropBackup(now, "backup silent")
 		return
 	}
-	if !m.IsPrimary(now) && now-m.started > m.timing.Primacy && now >= m.waitUntil && len(m.refusedBy(now)) > 0 {
-		m.propose(Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: decided.Backup}, now)
+	if !m.hasPrimacy(now) && now-m.started > m.timing.Primacy && now >= m.waitUntil && len(m.refusedBy(now)) > 0 {
+		next := Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: decided.Backup}
+		if m.isAhead {
+			next.Backup = ""
+		}
+		m.propose(next, now)
 		return
 	}
 	if decided.Backup == "" && m.IsPrimary(now) {
@@ -489,6 +546,10 @@
 	m.pump(now)
 }
 
+func (m *Machine) isUnpaired() bool {
+	return m.founding.IsPaired && m.ballots.Decided.Backup == "" && len(m.Voters()) > 1
+}
+
 func (m *Machine) refusedBy(now time.Duration) []string {
 	var names []string
 	m.others(func(name string) {
@@ -501,7 +562,7 @@
 
 func (m *Machine) dropBackup(now time.Duration, why string) {
 	m.shunned[m.ballots.Decided.Backup] = now + 4*m.timing.Primacy
-	m.emit(Turned{Record: m.ballots.Decided, Why: why})
+	m.emit(Turned{Record: m.ballots.Decided, Why: why, Table: m.safe})
 	m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
 }
 
@@ -545,7 +606,7 @@
 	if len(sent) < need {
 		return
 	}
-	if !m.IsPrimary(now) {
+	if !m.hasPrimacy(now) {
 		m.setClock(now)
 	}
 	slices.Sort(sent)
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -23,6 +23,8 @@
 	// Announced and Answered are how long ago.
 	Announced time.Duration
 	Answered  time.Duration
+	// Placed is how long ago it was asked for the place that it then told.
+	Placed time.Duration
 	// Lagging is the longest that a commit here has waited for it.
 	Lagging time.Duration
 	// Refused counts the connections refused since it last answered, Overdue
@@ -46,8 +48,12 @@
 	Via string
 	// Roll is the newest roll of instances held.
 	Roll Roll
-	// Birth names the run of the asking program.
-	Birth int64
+	// Birth names the run of the asking program; where it is given, Number
+	// rises with each ask of that run, so that one that comes late is known.
+	Birth  int64
+	Number uint64
+	// IsBare says that the node holds no lease, nor will by an earlier grant.
+	IsBare bool
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -79,7 +85,7 @@
 	Instances []view.Instance
 }
 
-// Wait is the longest that an ask waits for news.
+// Wait is the longest that an ask waits for news where the timing names none.
 const Wait = 250 * time.Millisecond
 
 type waiter struct {
@@ -132,6 +138,16 @@
 	isEnrolling map[string]bool
 	inherited   table.Stamp
 	isSure      bool
+
+	roll     []view.Instance
+	rollNo   uint64
+	births   map[string]lives
+	leased   map[string]bool
+	evidence map[string]time.Duration
+	event    uint64
+	covered  map[string]uint64
+	marks    map[string]view.Position
+	phases   map[string]phaseAt
 }
 
 // New makes the machine with the record and state held on disk.
@@ -151,6 +167,7 @@
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
+	m.clearSynced()
 }
 
 func (m *Machine) known() []string {
@@ -223,8 +240,10 @@
 
 // Wrote takes the state that is safe to publish.
 func (m *Machine) Wrote(held *table.Table) {
+	before := m.doc
 	m.table = held
 	m.doc = view.DocOf(held)
+	m.noteTerms(before)
 }
 
 // Record gives the epoch record.
@@ -245,7 +264,12 @@
 // Ask takes an ask; it is answered by Flush.
 func (m *Machine) Ask(ask AskNews, token uint64, now time.Duration) {
 	if ask.Kind == view.KindData {
-		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut, now)
+		m.watch(now)
+		isLate := !m.noteAsk(ask)
+		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut && !isLate, now)
+		if ask.IsBare && !isLate && ask.Birth != 0 {
+			m.desk.OnBare(ask.Node, now)
+		}
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
 	}
@@ -261,6 +285,7 @@
 	}
 	for _, report := range told.Reports {
 		held[report.Instance.Name] = reported{report: report, at: now}
+		m.noteEvidence(report, now)
 	}
 	for name, high := range told.Highs {
 		m.highs[name] = m.highs[name].Later(high)
@@ -294,7 +319,8 @@
 	var kept []waiter
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
-		if !isNews && now < held.came+Wait && isPrimary {
+		isRoll := isPrimary && m.isRollNews(held.ask, wall)
+		if !isNews && !isRoll && now < held.came+m.wait() && isPrimary {
 			kept = append(kept, held)
 			continue
 		}
@@ -304,6 +330,9 @@
 				doc := m.doc
 				news.Doc = &doc
 			}
+			if isRoll {
+				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
+			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
 				news.Lease = m.desk.Grant(held.ask.Node, m.doc.IsPending(), m.room(wall), now)
 			}
@@ -367,8 +396,11 @@
 	return false
 }
 
+const never = time.Hour
+
 func (m *Machine) sight(heard Heard, held map[string]table.Stamp, now time.Duration) failover.Sight {
-	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At}
+	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At, Placed: never}
+	told := sight.Heard
 	var nodes []string
 	for node := range m.reports {
 		nodes = append(nodes, node)
@@ -381,9 +413,10 @@
 		}
 		sight.Asked++
 		nearest := min(one.report.Announced, one.report.Answered) + now - one.at
-		if nearest < sight.Heard {
-			sight.Heard = nearest
-			sight.Instance = one.report.Instance
+		sight.Heard = min(sight.Heard, nearest)
+		age := now - one.at
+		if since := age + min(one.report.Announced, max(one.report.Placed, one.report.Answered)); since < told {
+			told, sight.Placed, sight.Instance = since, one.report.Placed+age, one.report.Instance
 		}
 		if nearest > failover.DefaultTiming().Silence {
 			sight.Silent++
@@ -432,7 +465,8 @@
 	key := view.KeyDB + ask.After.Database
 	now, isKnown := table.Get[view.Writer](held, key)
 	isSame := isKnown == ask.IsKnown && now.Term == ask.Before.Term && now.Phase == ask.Before.Phase &&
-		now.Intent == ask.Before.Intent && now.Calls == ask.Before.Calls &&
+		now.Intent == ask.Before.Intent && now.Calls == ask.Before.Calls && now.Fence == ask.Before.Fence &&
+		(!now.IsSynced || now.Since == ask.Before.Since) &&
 		isSameSet(now.Required, ask.Before.Required) && isSameSet(now.Candidates, ask.Before.Candidates)
 	if !isSame {
 		return nil
@@ -484,9 +518,7 @@
 	if m.isLand {
 		return Write{}, false
 	}
-	if m.tenure == "" {
-		m.tenure = fmt.Sprintf("%s@%d", m.self, wall)
-	}
+	m.tenureOf(wall)
 	done := func() {
 		m.isLand = false
 		m.desk.Thaw()
@@ -552,7 +584,7 @@
 	}
 	key := view.KeyBook + booking.ID
 	newest := view.DocOf(held).Newest()
-	set := view.Set{Sequence: newest.Sequence + 1, Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID}
+	set := follow(newest, view.Set{Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID})
 	puts := []table.Put{{Key: key, IsGone: true}, {Key: SetKey(set.Sequence), Data: table.Encode(set)}}
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("booked change %s taken as sequence %d", booking.ID, set.Sequence), "its moment is near")...)
 }
@@ -594,6 +626,12 @@
 				puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
 			}
 		}
+		raws := held.Keys(view.KeyRaw)
+		for at, key := range raws {
+			if at+1 < len(raws) && key < RawKey(lowest) {
+				puts = append(puts, table.Put{Key: key, IsGone: true})
+			}
+		}
 		return puts
 	}, Done: func() { m.isTidy = false }}, true
 }
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -33,6 +33,8 @@
 	asks    map[uint64]func(steer.News)
 	isAsked map[string]bool
 	crashAt int
+
+	evidence map[string]*evidence
 }
 
 func (c *control) start() {
@@ -43,6 +45,7 @@
 	c.seek = map[string]*ballot.Seeker{}
 	c.heard = map[string]steer.Heard{}
 	c.isAsked = map[string]bool{}
+	c.evidence = map[string]*evidence{}
 	c.store = synced.NewStore(c.disk, 4)
 	saved, err := epoch.Load(c.store, func(kind string, passed int) { c.world.note("%s passed over %d %s", c.name, passed, kind) })
 	if err != nil {
@@ -51,7 +54,7 @@
 		return
 	}
 	now := c.clock()
-	c.epoch = epoch.New(c.name, len(c.fleet.controls), epoch.DefaultTiming(), saved, now)
+	c.epoch = epoch.NewFounding(c.name, epoch.Founding{Disks: len(c.fleet.controls), IsPaired: true}, epoch.DefaultTiming(), saved, now)
 	c.steer = steer.New(c.name, lease.DefaultTiming(), c.epoch.Record(), c.epoch.Table(), now)
 	c.keeper = ballot.NewKeeper(dutyTerm, now)
 	c.world.note("%s up", c.name)
@@ -143,15 +146,15 @@
 		}
 		return
 	}
-	if _, isOne := effect.(epoch.Wrote); isOne {
-		c.steer.Wrote(c.epoch.Table())
+	if wrote, isOne := effect.(epoch.Wrote); isOne {
+		c.steer.Wrote(wrote.Table)
 		c.fleet.took(c.name, c.steer.Doc().Sets)
 		c.flush()
 		return
 	}
 	if turned, isOne := effect.(epoch.Turned); isOne {
 		c.world.note("%s epoch %d primary %s backup %s: %s", c.name, turned.Record.Epoch, turned.Record.Primary, turned.Record.Backup, turned.Why)
-		c.steer.Turn(turned.Record, c.epoch.Table(), c.clock())
+		c.steer.Turn(turned.Record, turned.Table, c.clock())
 	}
 }
 
@@ -226,8 +229,16 @@
 		}
 	}
 	if seeker.IsHeld(c.clock()) && !c.isAsked[database] {
-		c.attend(database)
+		c.attends(database)
+	}
+}
+
+func (c *control) attends(database string) {
+	if c.fleet.lines != nil {
+		c.takeover(database)
+		return
 	}
+	c.attend(database)
 }
 
 func (c *control) attend(database string) {
