--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -50,8 +50,13 @@
 	reals   map[string]view.Node
 	realsAt map[string]time.Time
 	down    map[string]downed
-	gossip  []view.Node
+	ledger  *member.Machine
+	fed     map[string]int64
+	digest  uint64
+	alike   map[string]bool
+	fresh   []view.Node
 	doubts  []member.Suspicion
+	began   time.Time
 	watches map[string][]string
 	names   []string
 
@@ -69,7 +74,7 @@
 
 func newHerd(w *world, seeds []string, known int) *herd {
 	msg.Register()
-	return &herd{world: w, seeds: seeds, known: known, reals: map[string]view.Node{}, realsAt: map[string]time.Time{}, down: map[string]downed{}, watches: map[string][]string{}}
+	return &herd{world: w, seeds: seeds, known: known, reals: map[string]view.Node{}, realsAt: map[string]time.Time{}, down: map[string]downed{}, watches: map[string][]string{}, fed: map[string]int64{}, alike: map[string]bool{}, began: time.Now()}
 }
 
 func (h *herd) add(name, zone, address string, homes map[string]bool) (*hollow, error) {
@@ -87,26 +92,74 @@
 func (h *herd) beat() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	list := make([]view.Node, 0, len(h.nodes)+len(h.reals))
+	h.fresh = nil
 	for _, node := range h.told() {
 		if _, isDown := h.down[node.self.Name]; isDown {
 			continue
 		}
 		node.mutex.Lock()
 		node.self.Beat = uint64(time.Since(node.began)/member.DefaultTiming().Beat) + 1
-		list = append(list, node.self)
+		self, began := node.self, node.began
 		node.mutex.Unlock()
+		if time.Since(began) < member.DefaultTiming().Fresh {
+			h.fresh = append(h.fresh, self)
+		}
+		if h.fed[self.Name] != self.Birth {
+			h.fed[self.Name] = self.Birth
+			h.feed(member.Gossip{From: self, IsReply: true})
+		}
 	}
 	h.doubts = nil
 	for name, real := range h.reals {
-		list = append(list, real)
 		h.doubt(name, downed{node: real, at: h.realsAt[name]})
 	}
 	for name, gone := range h.down {
-		list = append(list, gone.node)
 		h.doubt(name, gone)
 	}
-	h.gossip = list
+}
+
+func (h *herd) feed(gossip member.Gossip) []member.Gossip {
+	if h.ledger == nil {
+		h.ledger = member.New(gossip.From, nil, member.DefaultTiming())
+		return nil
+	}
+	var replies []member.Gossip
+	for _, effect := range h.ledger.Step(member.Told{Gossip: gossip}, time.Since(h.began)) {
+		if send, isSend := effect.(member.Send); isSend {
+			replies = append(replies, send.Gossip)
+			h.digest = send.Gossip.Digest
+		}
+	}
+	return replies
+}
+
+func (h *herd) take(gossip member.Gossip) []member.Gossip {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	from, known := gossip.From, h.reals[gossip.From.Name]
+	if from.Link == "" && from.Birth == known.Birth {
+		beat := from.Beat
+		from = known
+		from.Beat = beat
+	}
+	if from.Link != "" && (from.Beat >= known.Beat || from.Birth > known.Birth) {
+		h.reals[from.Name], h.realsAt[from.Name] = from, time.Now()
+	}
+	replies := h.feed(gossip)
+	h.alike[from.Name] = gossip.Digest == h.digest
+	return replies
+}
+
+func (h *herd) doubtful() []member.Suspicion {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.doubts
+}
+
+func (h *herd) linkOf(name string) string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.reals[name].Link
 }
 
 func (h *herd) doubt(name string, gone downed) {
@@ -118,10 +171,20 @@
 	}
 }
 
-func (h *herd) tell(from view.Node, isReply bool) member.Gossip {
+func (h *herd) tell(from view.Node, address string) member.Gossip {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return member.Gossip{From: from, Nodes: h.gossip, Suspicions: h.doubts, IsReply: isReply}
+	isFresh := slices.ContainsFunc(h.fresh, func(node view.Node) bool { return node.Name == from.Name })
+	for name, real := range h.reals {
+		if real.Link == address && h.alike[name] && !isFresh {
+			from = brief(from)
+		}
+	}
+	return member.Gossip{From: from, Nodes: h.fresh, Suspicions: h.doubts, Digest: h.digest}
+}
+
+func brief(node view.Node) view.Node {
+	return view.Node{Name: node.Name, Birth: node.Birth, Beat: node.Beat, Left: node.Left}
 }
 
 func (h *herd) told() []*hollow {
@@ -192,7 +255,7 @@
 			continue
 		}
 		n.herd.gossiped.Add(1)
-		n.hub.Send(address, n.herd.tell(self, false))
+		n.hub.Send(address, n.herd.tell(self, address))
 	}
 }
 
@@ -216,17 +279,17 @@
 func (n *hollow) hear(_ string, body any, answer func(any)) {
 	if gossip, isGossip := body.(member.Gossip); isGossip {
 		n.herd.heard.Add(1)
-		if n.isBarred(gossip.From.Link) {
+		if n.isBarred(n.herd.linkOf(gossip.From.Name)) {
 			return
 		}
-		n.herd.mutex.Lock()
-		if gossip.From.Beat >= n.herd.reals[gossip.From.Name].Beat || gossip.From.Birth > n.herd.reals[gossip.From.Name].Birth {
-			n.herd.reals[gossip.From.Name], n.herd.realsAt[gossip.From.Name] = gossip.From, time.Now()
-		}
-		n.herd.mutex.Unlock()
-		if !gossip.IsReply {
+		for _, reply := range n.herd.take(gossip) {
+			self := n.entry()
+			if reply.From.Link == "" {
+				self = brief(self)
+			}
+			reply.From, reply.Suspicions = self, n.herd.doubtful()
 			n.herd.gossiped.Add(1)
-			n.hub.Send(gossip.From.Link, n.herd.tell(n.entry(), true))
+			n.hub.Send(n.herd.linkOf(gossip.From.Name), reply)
 		}
 		return
 	}
@@ -235,7 +298,7 @@
 		n.mutex.Lock()
 		primary := n.primary
 		n.mutex.Unlock()
-		address := n.addressOf(primary)
+		address := n.herd.linkOf(primary)
 		if address == "" || n.isBarred(address) {
 			return
 		}
@@ -245,12 +308,6 @@
 	}
 }
 
-func (n *hollow) addressOf(name string) string {
-	n.herd.mutex.Lock()
-	defer n.herd.mutex.Unlock()
-	return n.herd.reals[name].Link
-}
-
 func (n *hollow) controls() []string {
 	n.herd.mutex.Lock()
 	defer n.herd.mutex.Unlock()
@@ -279,7 +336,7 @@
 	n.mutex.Lock()
 	primary := n.primary
 	n.mutex.Unlock()
-	address, others := n.addressOf(primary), n.controls()
+	address, others := n.herd.linkOf(primary), n.controls()
 	if len(others) == 0 {
 		return false
 	}
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -65,6 +65,15 @@
 	}
 }
 
+func TestMessagesAtRest(t *testing.T) {
+	Convey("A beat and its answer at rest tell of no other node, so their bytes don't grow with the nodes", t, func() {
+		for _, take := range []func(int) (Figure, error){restOf, toldOf} {
+			small, large := figureAt(take, 30), figureAt(take, 120)
+			So(large.Bytes-small.Bytes, ShouldBeBetween, -60, 60)
+		}
+	})
+}
+
 func TestMessagesOfOneBeat(t *testing.T) {
 	Convey("A node tells as many others as watch each node, and now and then the seeds, however many nodes there are", t, func() {
 		for _, count := range []int{30, 120} {
--- a/proof/scale/slopes.go
+++ b/proof/scale/slopes.go
@@ -54,10 +54,12 @@
 // at the full size, too.
 func Slopes() []Slope {
 	return []Slope{
-		{"gossip: one beat", "nodes", "each node", nodeSizes, beatOf},
-		{"gossip: one message taken", "nodes", "each node", nodeSizes, toldOf},
+		{"gossip: one beat at rest", "nodes", "each node", nodeSizes, restOf},
+		{"gossip: one beat, all nodes reborn", "nodes", "each node", nodeSizes, beatOf},
+		{"gossip: one message taken at rest", "nodes", "each node", nodeSizes, toldOf},
 		{"ask: built, with its reports", "instances", "node", instanceSizes, askOf},
 		{"ask: taken and answered, nothing new", "instances", "control primary", instanceSizes, deskOf},
+		{"ask: taken while all nodes are leased", "nodes", "control primary", nodeSizes, leasedOf},
 		{"news: whole state carried", "databases", "control primary", databaseSizes, newsOf},
 		{"write: table cloned, written out, read again", "databases", "control primary, backup", databaseSizes, writeOf},
 		{"case of one database", "nodes", "control primary", nodeSizes, caseOf},
@@ -123,33 +125,100 @@
 	}
 }
 
+func sendOf(effects []any, before member.Gossip) member.Gossip {
+	for _, effect := range effects {
+		if send, isSend := effect.(member.Send); isSend {
+			return send.Gossip
+		}
+	}
+	return before
+}
+
 func beatOf(count int) (Figure, error) {
 	machine, told := memberOf(count)
 	now, beat := time.Hour, uint64(1)
-	machine.Step(told(beat), now)
-	var effects []any
+	var gossip member.Gossip
 	cost := each(func() {
 		beat++
 		now += member.DefaultTiming().Beat
-		machine.Step(told(beat), now)
-	}, func() { effects = machine.Step(member.Tick{}, now) })
-	for _, effect := range effects {
-		if send, isSend := effect.(member.Send); isSend {
-			return sized(Figure{Processor: cost}, send.Gossip)
+		reborn := told(beat)
+		for at := range reborn.Gossip.Nodes {
+			reborn.Gossip.Nodes[at].Birth += int64(beat)
+		}
+		machine.Step(reborn, now)
+	}, func() { gossip = sendOf(machine.Step(member.Tick{}, now), gossip) })
+	return sized(Figure{Processor: cost}, gossip)
+}
+
+type rest struct {
+	machine *member.Machine
+	now     time.Duration
+	beat    uint64
+	heard   []view.Node
+	digest  uint64
+}
+
+func restAt(count int) *rest {
+	machine, told := memberOf(count)
+	r := &rest{machine: machine, now: time.Hour, beat: 1}
+	machine.Step(told(1), r.now)
+	r.heard = nodesOf(count, 0)[1:2]
+	watched := machine.Watched()
+	for _, node := range machine.Nodes(member.IsLive) {
+		if slices.Contains(watched, node.Name) && node.Name != r.heard[0].Name {
+			r.heard = append(r.heard, node)
 		}
 	}
-	return Figure{Processor: cost}, nil
+	for range 8 {
+		r.pass()
+		r.took(machine.Step(member.Tick{}, r.now))
+	}
+	return r
+}
+
+func (r *rest) took(effects []any) member.Gossip {
+	gossip := sendOf(effects, member.Gossip{Digest: r.digest})
+	r.digest = gossip.Digest
+	return gossip
+}
+
+func (r *rest) message(node view.Node, isReply bool) member.Told {
+	from := brief(node)
+	from.Beat = r.beat
+	return member.Told{Gossip: member.Gossip{From: from, Digest: r.digest, IsReply: isReply}}
+}
+
+func (r *rest) pass() {
+	r.beat++
+	r.now += member.DefaultTiming().Beat
+	for _, node := range r.heard {
+		r.took(r.machine.Step(r.message(node, true), r.now))
+	}
+}
+
+func restOf(count int) (Figure, error) {
+	r := restAt(count)
+	var gossip member.Gossip
+	cost := each(r.pass, func() {
+		if effects := r.machine.Step(member.Tick{}, r.now); len(effects) > 0 {
+			gossip = r.took(effects)
+		}
+	})
+	if len(gossip.Nodes) > 0 {
+		return Figure{}, fmt.Errorf("%d nodes told of at rest", len(gossip.Nodes))
+	}
+	return sized(Figure{Processor: cost}, gossip)
 }
 
 func toldOf(count int) (Figure, error) {
-	machine, told := memberOf(count)
-	now, beat := time.Hour, uint64(1)
-	var gossip member.Told
-	return Figure{Processor: each(func() {
-		beat++
-		now += member.DefaultTiming().Beat
-		gossip = told(beat)
-	}, func() { machine.Step(gossip, now) })}, nil
+	r := restAt(count)
+	var message member.Told
+	var gossip member.Gossip
+	cost := each(func() {
+		r.beat++
+		message = r.message(r.heard[0], false)
+	}, func() { gossip = r.took(r.machine.Step(message, r.now)) })
+	return sized(Figure{Processor: cost}, gossip)
 }
 
 func instancesOf(databases int) []view.Instance { return newWorld(databases).addressed() }
@@ -238,6 +307,17 @@
 	return sized(Figure{Processor: cost}, replies[0].News)
 }
 
+func leasedOf(nodes int) (Figure, error) {
+	machine := desk(stateOf(10, nodes))
+	now := time.Hour
+	ask := asker(nodeOf(1, view.KindData).Name, instancesOf(10), now).Ask(now, nil)
+	ask.Have = machine.Doc().Stamp
+	return Figure{Processor: many(func() {
+		machine.Ask(ask, 1, now)
+		machine.Flush(true, int64(now), now+steer.Wait)
+	})}, nil
+}
+
 func newsOf(databases int) (Figure, error) {
 	machine := desk(stateOf(databases, 930))
 	now := time.Hour
