Work out whom a node watches when membership turns, not at each beat

Ruled out: messages (119 B at any size); the link (0.1 ms). Change: the watched are kept until a standing turns; whether a node is among the few of another is known after a few comparisons; judging needs their number only. Test: IsAmong agrees with Select for every key and name; membership's tests as before.

--- a/pooler/coordination/member/member.go
+++ b/pooler/coordination/member/member.go
@@ -114,6 +114,8 @@
 	ranges     [Ranges]uint64
 	digest     uint64
 	isTurned   bool
+	watched    []string
+	isWatching bool
 	effects    []any
 }
 
@@ -177,14 +179,17 @@
 
 // Watched names the nodes that this node watches.
 func (m *Machine) Watched() []string {
+	if m.isWatching {
+		return m.watched
+	}
 	names := m.names()
-	var watched []string
+	m.watched, m.isWatching = nil, true
 	for _, name := range names {
-		if name != m.self.Name && slices.Contains(rendezvous.Select(names, name, Watchers), m.self.Name) {
-			watched = append(watched, name)
+		if name != m.self.Name && rendezvous.IsAmong(names, name, m.self.Name, Watchers) {
+			m.watched = append(m.watched, name)
 		}
 	}
-	return watched
+	return m.watched
 }
 
 func (m *Machine) names() []string {
@@ -349,7 +354,7 @@
 				by[suspicion.By] = true
 			}
 		}
-		need := min(2, max(len(rendezvous.Select(names, name, Watchers)), 1))
+		need := min(2, max(min(Watchers, len(names)-1), 1))
 		if len(by) >= need {
 			m.turn(other, IsDead, "silent to more than one watcher", now)
 		}
@@ -361,6 +366,7 @@
 		return
 	}
 	other.standing, other.turned = standing, now
+	m.isWatching = false
 	other.fresh, m.isTurned = now+m.timing.Fresh, true
 	m.effects = append(m.effects, Changed{Node: other.node, Is: standing, Why: why})
 }
--- a/pooler/coordination/rendezvous/rendezvous.go
+++ b/pooler/coordination/rendezvous/rendezvous.go
@@ -35,3 +35,20 @@
 	})
 	return ranked[:min(count, len(ranked))]
 }
+
+// IsAmong says whether a name is one of the count that Select gives, without
+// ranking all: it looks only until enough others are found that score higher.
+func IsAmong(names []string, key, name string, count int) bool {
+	own, higher := score(name, key), 0
+	for _, other := range names {
+		if other == key || other == name {
+			continue
+		}
+		if theirs := score(other, key); theirs > own || (theirs == own && other < name) {
+			if higher++; higher >= count {
+				return false
+			}
+		}
+	}
+	return name != key
+}
