Order a connection's making before its poller reads, by Go's own memory model

The kernel orders the two (epoll_ctl before epoll_wait); Go's memory model knows nothing of that, and no lock stood between, as transport/wire has one. Ruled out: code of the product in the reports (none names it); a second connection with the same descriptor (reports name the first request of a new connection); leaving such reports out of the test run, as the runs of real processes do: a check would be looser. Change: an atomic counter risen when a connection is handed to a poller, and read before the poller reads from it.

--- a/pooler/transport/web/web.go
+++ b/pooler/transport/web/web.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"tansyseam.example/pooler/protocol/door"
@@ -32,6 +34,18 @@
 	engine *nbhttp.Engine
 }
 
+// order makes what was written before a connection was handed to a poller
+// visible to that poller by Go's own memory model. The kernel orders the two
+// already, by epoll_ctl before epoll_wait, which the model does not know.
+func order(engine *nbio.Engine) {
+	var handed atomic.Uint64
+	engine.OnOpen(func(*nbio.Conn) { handed.Add(1) })
+	engine.OnReadBufferAlloc(func(conn *nbio.Conn) *[]byte {
+		handed.Load()
+		return engine.PollerBufferPtr(conn)
+	})
+}
+
 // OpenDoor listens and serves; onGone hears of each caller's connection that
 // ends, by its remote address.
 func OpenDoor(address string, handler http.Handler, onGone func(remote string)) (*Door, error) {
@@ -39,6 +53,7 @@
 		Network: "tcp", Addrs: []string{address}, Handler: handler, NPoller: 2,
 		MaxHTTPBodySize: MaxBody * 2, KeepaliveTime: 10 * time.Minute, ReleaseWebsocketPayload: true,
 	})
+	order(engine.Engine)
 	if onGone != nil {
 		engine.OnClose(func(conn net.Conn, _ error) { onGone(conn.RemoteAddr().String()) })
 	}
@@ -61,6 +76,7 @@
 // NewClient starts the client's engine; sessions leave from the local IP.
 func NewClient(local string, crew *run.Crew) (*Client, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 2, MaxHTTPBodySize: 16 << 20})
+	order(engine.Engine)
 	if err := engine.Start(); err != nil {
 		return nil, errors.Trace(err)
 	}
