Keep what a takeover's holder saw in one machine, run by daemon and simulator

Cause: what the holder of a duty keeps of a takeover (the episode, its looks at instances, its promote calls) stood in pooler/cmd/control/takeovers.go and again in proof/sim/lines_control.go, a rule of the product in two places. The two differed: only the daemon forgot looks after two minutes.

Change: takeover.Holder, pure. Show puts what was seen into a case, Order and Call give the functions to be told the outcome, Recorded turns the episode once a record is kept. cmd/control holds its lock around it and does the I/O; proof/sim does the same with its virtual links.

Ruled out: a change of behaviour.

Tests: TestHolder, new; TestEvidence in cmd/control asks the machine under the daemon's lock, with the same verdicts.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -54,7 +54,7 @@
 	keeper   *ballot.Keeper
 	seekers  map[string]*ballot.Seeker
 	attended map[string]bool
-	evidence map[string]*evidence
+	holder   *takeover.Holder
 	known    msg.CaseAnswer
 	knownAt  time.Duration
 	seekAt   time.Duration
@@ -80,7 +80,7 @@
 		node: node, log: node.Log, store: synced.NewStore(disk, 4), die: die,
 		queue: make(chan func(), 4096), answers: map[uint64]func(epoch.Answer){},
 		asks: map[uint64]func(any){}, seekers: map[string]*ballot.Seeker{}, attended: map[string]bool{},
-		evidence: map[string]*evidence{},
+		holder: takeover.NewHolder(place.Name),
 	}
 	if seams != nil {
 		c.seams = *seams
--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -150,8 +150,9 @@
 		return takeover.Case{Database: "db", IsKnown: true, IsSettled: true, Event: 3, Tenure: "c1@1", Writer: view.Writer{Database: "db", Term: 3, Primary: "a", Phase: phase, Since: since, IsSynced: true}}
 	}
 	shown := func(b *bench, one takeover.Case) takeover.Case {
-		b.show(&one)
-		return one
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return b.holder.Show(one, b.node.Now())
 	}
 	Convey("What an instance answered counts as seen after the settling only in the episode in which it was asked, and settled", t, func() {
 		b := newBench(t, t.TempDir())
--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -34,7 +34,6 @@
 const (
 	announceBound = 800 * time.Millisecond
 	orderBound    = 400 * time.Millisecond
-	forgetLooks   = 2 * time.Minute
 )
 
 func (c *Control) onSynced(instance view.Instance) (string, bool) {
@@ -82,84 +81,6 @@
 	c.steer.Covers(mark)
 }
 
-type episode struct {
-	term   uint64
-	phase  string
-	intent string
-	since  int64
-}
-
-func episodeOf(writer view.Writer) episode {
-	one := episode{term: writer.Term, phase: writer.Phase, intent: writer.Intent}
-	if writer.Phase == view.PhaseClosing {
-		one.since = writer.Since
-	}
-	return one
-}
-
-type look struct {
-	seen  takeover.Seen
-	at    time.Duration
-	isOut bool
-}
-
-type made struct {
-	instance string
-	at       time.Duration
-	status   int
-}
-
-// evidence is what this machine itself learned of a synced database; what it
-// saw counts as seen after the settling only within one episode.
-type evidence struct {
-	episode episode
-	looks   map[string]*look
-	calls   []*made
-}
-
-func (e *evidence) turn(to episode) {
-	if e.episode == to {
-		return
-	}
-	e.episode, e.calls = to, nil
-	for _, one := range e.looks {
-		one.seen.IsAfter = false
-	}
-}
-
-func (c *Control) evidenceOf(database string) *evidence {
-	held, isHeld := c.evidence[database]
-	if !isHeld {
-		held = &evidence{looks: map[string]*look{}}
-		c.evidence[database] = held
-	}
-	return held
-}
-
-func (c *Control) show(at *takeover.Case) {
-	now := c.node.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	held := c.evidenceOf(at.Database)
-	held.turn(episodeOf(at.Writer))
-	at.Self, at.Seen = c.node.Place().Name, map[string]takeover.Seen{}
-	for name, one := range held.looks {
-		if one.at == 0 {
-			continue
-		}
-		if now-one.at > forgetLooks && !one.isOut {
-			delete(held.looks, name)
-			continue
-		}
-		seen := one.seen
-		seen.Age = now - one.at
-		at.Seen[name] = seen
-	}
-	for _, call := range held.calls {
-		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
-	}
-}
-
 func (c *Control) attendTakeover(database string) {
 	c.alone(database, func() { c.decideTakeover(database) })
 }
@@ -169,15 +90,16 @@
 	if !isOne || answer.Takeover.Database != database {
 		return
 	}
-	at := answer.Takeover
-	c.show(&at)
+	c.mutex.Lock()
+	at := c.holder.Show(answer.Takeover, c.node.Now())
+	c.mutex.Unlock()
 	for _, effect := range takeover.Step(at, takeover.DefaultTiming()) {
 		if record, isRecord := effect.(failover.Record); isRecord {
 			if !c.recordCase(at.Writer, at.IsKnown, record) {
 				return
 			}
 			c.mutex.Lock()
-			c.evidenceOf(database).turn(episodeOf(record.Writer))
+			c.holder.Recorded(record)
 			c.mutex.Unlock()
 			continue
 		}
@@ -220,16 +142,9 @@
 		return
 	}
 	c.mutex.Lock()
-	held := c.evidenceOf(at.Database)
-	one, isMet := held.looks[instance]
-	if !isMet {
-		one = &look{}
-		held.looks[instance] = one
-	}
-	isUnderWay, asked := one.isOut, held.episode
-	one.isOut = true
+	told := c.holder.Order(at, instance)
 	c.mutex.Unlock()
-	if isUnderWay {
+	if told == nil {
 		return
 	}
 	c.node.Counts.Add("orders", 1)
@@ -237,12 +152,10 @@
 		reply := c.seams.Order(address, at.Database, instance, order, term, orderBound)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		one.isOut, one.at = false, c.node.Now()
-		one.seen = takeover.Seen{
+		told(takeover.Seen{
 			IsAnswered: reply.Err == nil && !reply.IsBusy && !reply.IsGone, IsBusy: reply.IsBusy, IsGone: reply.IsGone,
 			Role: reply.Role, Term: reply.Term, Position: reply.Position,
-			IsAfter: at.IsSettled && held.episode == asked && episodeOf(at.Writer) == asked, Event: at.Event, Tenure: at.Tenure,
-		}
+		}, c.node.Now())
 	})
 }
 
@@ -251,10 +164,8 @@
 		return
 	}
 	c.node.Counts.Add("promote_calls", 1)
-	one := &made{instance: call.Instance, at: c.node.Now()}
 	c.mutex.Lock()
-	held := c.evidenceOf(call.Database)
-	held.calls = append(held.calls, one)
+	told := c.holder.Call(call, c.node.Now())
 	c.mutex.Unlock()
 	c.node.Crew.Go(func() {
 		status, err := c.seams.Promote(c.node.Place(), call.Database, call.Instance, call.Holder, call.Fence)
@@ -262,7 +173,7 @@
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		if err == nil {
-			one.status = status
+			told(status)
 		}
 	})
 }
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -9,6 +9,7 @@
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/steer"
+	"tansyseam.example/pooler/coordination/takeover"
 	"tansyseam.example/pooler/state/synced"
 	"tansyseam.example/pooler/state/table"
 )
@@ -34,7 +35,7 @@
 	isAsked map[string]bool
 	crashAt int
 
-	evidence map[string]*evidence
+	holder *takeover.Holder
 }
 
 func (c *control) start() {
@@ -45,7 +46,7 @@
 	c.seek = map[string]*ballot.Seeker{}
 	c.heard = map[string]steer.Heard{}
 	c.isAsked = map[string]bool{}
-	c.evidence = map[string]*evidence{}
+	c.holder = takeover.NewHolder(c.name)
 	c.store = synced.NewStore(c.disk, 4)
 	saved, err := epoch.Load(c.store, func(kind string, passed int) { c.world.note("%s passed over %d %s", c.name, passed, kind) })
 	if err != nil {
--- a/proof/sim/lines_control.go
+++ b/proof/sim/lines_control.go
@@ -12,58 +12,6 @@
 	"tansyseam.example/pooler/state/view"
 )
 
-type episode struct {
-	term          uint64
-	phase, intent string
-	since         int64
-}
-
-func episodeOf(writer view.Writer) episode {
-	one := episode{term: writer.Term, phase: writer.Phase, intent: writer.Intent}
-	if writer.Phase == view.PhaseClosing {
-		one.since = writer.Since
-	}
-	return one
-}
-
-type look struct {
-	seen  takeover.Seen
-	at    time.Duration
-	isOut bool
-}
-
-type madeCall struct {
-	instance string
-	at       time.Duration
-	status   int
-}
-
-// evidence is what a control machine itself learned of a database.
-type evidence struct {
-	episode episode
-	looks   map[string]*look
-	calls   []*madeCall
-}
-
-func (e *evidence) turn(to episode) {
-	if e.episode == to {
-		return
-	}
-	e.episode, e.calls = to, nil
-	for _, one := range e.looks {
-		one.seen.IsAfter = false
-	}
-}
-
-func (c *control) evidenceOf(database string) *evidence {
-	held := c.evidence[database]
-	if held == nil {
-		held = &evidence{looks: map[string]*look{}}
-		c.evidence[database] = held
-	}
-	return held
-}
-
 func (c *control) heardNow() []steer.Heard {
 	var list []steer.Heard
 	for _, one := range c.fleet.lines.servers {
@@ -94,25 +42,8 @@
 	})
 }
 
-func (c *control) show(at *takeover.Case) {
-	now := c.clock()
-	held := c.evidenceOf(at.Database)
-	held.turn(episodeOf(at.Writer))
-	at.Self, at.Seen = c.name, map[string]takeover.Seen{}
-	for name, one := range held.looks {
-		if one.at != 0 {
-			seen := one.seen
-			seen.Age = now - one.at
-			at.Seen[name] = seen
-		}
-	}
-	for _, call := range held.calls {
-		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
-	}
-}
-
 func (c *control) decideTakeover(primary *control, at takeover.Case) {
-	c.show(&at)
+	at = c.holder.Show(at, c.clock())
 	c.carryTakeover(primary, at, takeover.Step(at, takeover.DefaultTiming()))
 }
 
@@ -167,7 +98,7 @@
 				c.isAsked[at.Database] = false
 				if isKept {
 					c.world.note("%s records %s: %s (%s)", c.name, at.Database, record.What, record.Evidence)
-					c.evidenceOf(at.Database).turn(episodeOf(record.Writer))
+					c.holder.Recorded(record)
 					then()
 				}
 			})
@@ -190,26 +121,16 @@
 
 // order asks an instance for its status, or orders it out of the writer role.
 func (c *control) order(at takeover.Case, instance, address string, term uint64) {
-	held := c.evidenceOf(at.Database)
-	one := held.looks[instance]
-	if one == nil {
-		one = &look{}
-		held.looks[instance] = one
-	}
-	if one.isOut {
+	told := c.holder.Order(at, instance)
+	if told == nil {
 		return
 	}
-	one.isOut = true
-	asked := held.episode
 	isOver := false
 	over := func(seen takeover.Seen) {
-		if isOver {
-			return
+		if !isOver {
+			isOver = true
+			told(seen, c.clock())
 		}
-		isOver = true
-		seen.IsAfter = at.IsSettled && held.episode == asked && episodeOf(at.Writer) == asked
-		seen.Event, seen.Tenure = at.Event, at.Tenure
-		one.isOut, one.at, one.seen = false, c.clock(), seen
 	}
 	c.do(orderWait, func() { over(takeover.Seen{}) })
 	target := c.fleet.lines.hosts[address]
@@ -240,14 +161,12 @@
 // call makes the platform's one call.
 func (c *control) call(call takeover.Promote) {
 	l := c.fleet.lines
-	one := &madeCall{instance: call.Instance, at: c.clock()}
-	held := c.evidenceOf(call.Database)
-	held.calls = append(held.calls, one)
+	told := c.holder.Call(call, c.clock())
 	c.world.note("%s calls for %s to lead %s, fence %d", c.name, call.Instance, call.Database, call.Fence)
 	carry := func() {
 		status := l.promote(call)
 		c.world.note("the platform answers %d for %s", status, call.Instance)
-		c.world.send(&l.platform.machine, &c.machine, func() { one.status = status })
+		c.world.send(&l.platform.machine, &c.machine, func() { told(status) })
 	}
 	c.world.send(&c.machine, &l.platform.machine, func() {
 		if l.isCut {
