Have a simulated primary that starts again lead, and one that leaves end

The defect is the simulator's: db2-c led term 2 and crashed before the others had heard of it; what it would have gone on telling them was lost with the crash, so nobody followed it again. It crashed once more while it was leaving, and with that its end was lost: an instance that leaves for good and never goes.

Ruled out: the product. A real primary that comes back has its replicas follow it.

Change: a server that starts again as primary of a later term tells the others as it did when it was promoted; one that was leaving ends at its time.

--- a/proof/sim/lines_server.go
+++ b/proof/sim/lines_server.go
@@ -78,6 +78,12 @@
 	s.world.note("%s up as %s of term %d at %v", s.name, s.role, s.term, s.position())
 	s.do(time.Millisecond, s.beat)
 	s.do(time.Millisecond, s.pull)
+	if s.role == view.RolePrimary && s.term > 1 {
+		s.gather()
+	}
+	if s.leaving != 0 {
+		s.drain(max(s.leaving+drainSpan-s.world.now, 0))
+	}
 }
 
 func (s *server) onCrash(isVanished bool) {
@@ -157,7 +163,14 @@
 	s.leaving = s.world.now
 	s.world.note("%s is leaving", s.name)
 	s.announce(s.info(), 2)
-	s.do(drainBound+1500*time.Millisecond, func() {
+	s.drain(drainSpan)
+}
+
+const drainSpan = drainBound + 1500*time.Millisecond
+
+// drain ends the server after a span; a crash does not call the end off.
+func (s *server) drain(span time.Duration) {
+	s.do(span, func() {
 		info := s.info()
 		info.IsGone = true
 		s.announce(info, 2)
@@ -306,9 +319,14 @@
 	s.world.note("%s leads term %d at %v", s.name, term, s.position())
 	l.whole(s, "the promoted one")
 	s.announce(s.info(), 2)
-	for _, other := range l.of(s.database) {
+	s.gather()
+}
+
+// gather has the others follow; a primary that starts again does so anew.
+func (s *server) gather() {
+	for _, other := range s.lines.of(s.database) {
 		if other != s {
-			s.tell(other, term, 200)
+			s.tell(other, s.term, 200)
 		}
 	}
 }
--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -73,6 +73,7 @@
 		seed uint64
 	}{
 		{"a late promote call of an earlier intent, of the same holder and fence, was taken", 8000170},
+		{"a primary that started again never had the others follow, and one that crashed while leaving never ended", 8000029},
 	}
 	Convey("Seeds of lines on which a rule was broken once break none", t, func() {
 		for _, one := range seeds {
@@ -83,6 +84,44 @@
 	})
 }
 
+func TestLinesStartsAgain(t *testing.T) {
+	Convey("A primary that crashed before the others heard of its term has them follow when it is back", t, func() {
+		size := shortLines()
+		size.Script = func(l *lines) {
+			old := l.hosts["db1-a:1"]
+			l.crash(old, 6*time.Second)
+			for _, one := range []string{"db1-b", "db1-c"} {
+				for _, other := range l.of("db1") {
+					l.cut([2]string{one, other.name}, 5*time.Second)
+				}
+			}
+			var watch func()
+			watch = func() {
+				if head := l.head("db1"); head != nil && head.term == 2 {
+					l.crash(head, 200*time.Millisecond)
+					return
+				}
+				l.world.after(20*time.Millisecond, watch)
+			}
+			watch()
+		}
+		result := RunLines(1, size, LinePlant{}, nil)
+		So(result.Terms, ShouldEqual, 2)
+		So(result.Faults, ShouldBeEmpty)
+	})
+	Convey("An instance that crashed while it was leaving ends all the same", t, func() {
+		size := shortLines()
+		var one *server
+		size.Script = func(l *lines) {
+			one = l.hosts["db1-c:1"]
+			one.leave()
+			l.world.after(time.Second, func() { l.crash(one, time.Second) })
+		}
+		So(RunLines(1, size, LinePlant{}, nil).Faults, ShouldBeEmpty)
+		So(one.isEnded, ShouldBeTrue)
+	})
+}
+
 func TestLinesPlantedDefects(t *testing.T) {
 	onlyWithoutRace(t)
 	with := func(longest time.Duration, only ...string) LineShape {
