Keep on disk that a machine is lost, and let no newer epoch make it well

Cause: a machine that lost its disk and is named in the epoch that it was told of is lost in memory only. Ended and started again before the next epoch, it read files that say nothing of it, took itself for the backup in step, and stood with an empty copy; of five voters, three others could elect it. And a machine whose newest files are unsound took up any newer epoch that it heard of, was well at once and voted, without a majority's word and without the epoch of silence; the file saved with that also covered the unsound one.

Ruled out: a blank machine, which has no identity and so votes on nothing.

Change: the ballots' file says whether the machine is lost. A newer epoch makes well only a machine that a majority has told where things stand, and is taken up by no other lost one. Unsound files make a machine lost also where its identity is not yet formed.

Tests, seen failing first: the backup that ends before the next epoch (stood, now does not), the machine with older files than were synced (2 votes, now 0).

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -35,6 +35,9 @@
 	// Muted is the last epoch in which this machine must not vote, since it
 	// may have voted there before it lost its disk.
 	Muted uint64
+	// IsLost says that the machine is named in the epoch decided, and lacks what
+	// it held there.
+	IsLost bool
 }
 
 // Saved is what the disk held when the machine started.
@@ -272,6 +275,7 @@
 	copies      uint64
 	started     time.Duration
 	isLost      bool
+	isTold      bool
 	isUnsettled bool
 	isAhead     bool
 
@@ -334,7 +338,9 @@
 	m.isUnsettled = m.ballots.Voter.Promised.Name == self
 	decided := m.ballots.Decided
 	m.isAhead = decided.Primary == self && decided.Backup != "" && m.copy.Stamp.Epoch == decided.Epoch
-	m.isLost = saved.Identity == nil || (saved.Identity.IsFormed && (saved.Ballots == nil || saved.IsUnsound))
+	isForgetful := saved.Ballots == nil || saved.Ballots.IsLost
+	m.isLost = saved.Identity == nil || saved.IsUnsound || (saved.Identity.IsFormed && isForgetful)
+	m.isTold = m.isLost && !saved.IsUnsound && m.ballots.IsLost
 	m.asked = -timing.Form
 	return m
 }
@@ -453,6 +459,7 @@
 
 func (m *Machine) saveBallots() {
 	m.ballots.Sequence++
+	m.ballots.IsLost = m.isLost
 	m.emit(Save{Kind: FileBallots, Sequence: m.ballots.Sequence, Data: table.Encode(m.ballots)})
 }
 
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -209,10 +209,10 @@
 		record.Backup = m.identity.Voters[1]
 	}
 	m.ballots.Decided = record
+	m.isLost = false
 	m.saveBallots()
 	m.identity.IsFormed = true
 	m.saveIdentity()
-	m.isLost = false
 	m.grantAt = now
 	m.turned(record, "fleet formed")
 }
@@ -225,11 +225,15 @@
 		m.follow(standing)
 		return
 	}
-	if m.identity != nil && !m.identity.IsFormed && m.identity.Cluster == standing.Identity.Cluster {
+	if m.identity != nil && !m.identity.IsFormed && !m.isLost && m.identity.Cluster == standing.Identity.Cluster {
 		m.beFormed(now)
 		m.adopt(standing.Decided, now, "told standing")
 		return
 	}
+	if m.isTold {
+		m.adopt(standing.Decided, now, "told standing")
+		return
+	}
 	m.stands[from] = standing
 	best, count := standing, 0
 	for _, other := range m.stands {
@@ -244,19 +248,17 @@
 	if count < len(standing.Identity.Voters)/2+1 {
 		return
 	}
-	if m.identity != nil && m.identity.IsFormed && m.ballots.Decided == best.Decided && m.ballots.Muted > best.Decided.Epoch {
-		return
-	}
 	identity := best.Identity
 	identity.Self, identity.IsFormed = m.self, true
 	m.identity = &identity
 	m.ballots.Decided = best.Decided
-	m.ballots.Muted = best.Decided.Epoch + 1
+	m.ballots.Muted = max(m.ballots.Muted, best.Decided.Epoch+1)
 	m.ballots.Voter = ballot.Voter{}
+	m.isTold = true
+	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.saveBallots()
 	m.saveIdentity()
 	m.emit(Clean{})
-	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.started = now
 	m.turned(best.Decided, "disk was lost; a majority told where things stand")
 }
@@ -274,14 +276,14 @@
 }
 
 func (m *Machine) adopt(record Record, now time.Duration, why string) {
-	if record.Epoch <= m.ballots.Decided.Epoch || m.identity == nil || !m.identity.IsFormed {
+	if record.Epoch <= m.ballots.Decided.Epoch || m.identity == nil || !m.identity.IsFormed || (m.isLost && !m.isTold) {
 		return
 	}
 	wasNamed := m.isNamed()
 	m.ballots.Decided = record
 	m.ballots.Voter = ballot.Voter{}
-	m.saveBallots()
 	m.isLost = m.isLost && (record.Primary == m.self || record.Backup == m.self)
+	m.saveBallots()
 	m.isUnsettled = false
 	m.isAhead = m.isAhead && record.Primary == m.self && record.Backup != ""
 	m.round, m.repairing = nil, nil
