Mute a machine that forgot past each epoch it may have voted on

Cause: a machine that lost its disk kept silent in the epoch after the newest one that a majority told it was decided. That majority may not yet have heard that a further epoch is settled, which the lost machine knew, and on whose successor it had voted. It then voted there anew, and two records could be settled in one epoch (five voters, one disk lost, news of one epoch delayed). Standings told to an earlier run of the program counted too, and a muted machine could stand, with ballot numbers that it had used before.

Ruled out: that a majority told of the decided epoch is enough. It shares a voter with the one that settled the further epoch, but that voter has only accepted it.

Change: Standing tells the last epoch on which the teller may have voted: decided, accepted or muted. The lost machine is muted up to the epoch after the highest of these. The answer carries the ask's run of the program, and others count for nothing. A muted machine does not stand.

--- a/pooler/coordination/epoch/amnesia_test.go
+++ b/pooler/coordination/epoch/amnesia_test.go
@@ -90,6 +90,64 @@
 	})
 }
 
+func TestMutedPastWhatMayBeSettled(t *testing.T) {
+	number := ballot.Number{Round: 1, Name: "c1"}
+	before, settled := Record{Epoch: 4, Primary: "c1"}, Record{Epoch: 5, Primary: "c1", Backup: "c2"}
+	told := func(voter ballot.Voter, now time.Duration) *Machine {
+		m, ask := blank("c3", now)
+		tell(m, ask, []*Machine{
+			voting("c2", before, voter, now), voting("c4", before, ballot.Voter{}, now), voting("c5", before, ballot.Voter{}, now),
+		}, now)
+		So(m.Record(), ShouldResemble, before)
+		return m
+	}
+	votes := func(m *Machine, record Record, now time.Duration) int {
+		effects := m.Step(Heard{From: record.Primary, Body: Prepare{Decided: record, Number: number}}, now)
+		effects = append(effects, m.Step(Heard{From: record.Primary, Body: Accept{Epoch: record.Epoch + 1, Number: number, Value: []byte("x")}}, now)...)
+		count := len(sentBy[Accepted](effects))
+		for _, promised := range sentBy[Promised](effects) {
+			if promised.IsGiven {
+				count++
+			}
+		}
+		return count
+	}
+	Convey("Those who told it where things stand had not yet heard that an epoch was settled, which one of them had accepted: it may have voted on the epoch after that, and does not do so again", t, func() {
+		now := time.Hour
+		m := told(ballot.Voter{Promised: number, Accepted: number, Value: table.Encode(settled)}, now)
+		So(m.IsMuted(), ShouldBeTrue)
+		So(votes(m, before, now), ShouldEqual, 0)
+		So(votes(m, settled, now), ShouldEqual, 0)
+		So(m.Record(), ShouldResemble, settled)
+		So(m.IsMuted(), ShouldBeTrue)
+		So(votes(m, Record{Epoch: 6, Primary: "c1", Backup: "c2"}, now), ShouldEqual, 2)
+	})
+	Convey("Where none had accepted one, it votes on the epoch after the next", t, func() {
+		now := time.Hour
+		m := told(ballot.Voter{}, now)
+		So(votes(m, before, now), ShouldEqual, 0)
+		So(votes(m, settled, now), ShouldEqual, 2)
+	})
+	Convey("A teller that is itself muted passes on how far", t, func() {
+		now := time.Hour
+		first := told(ballot.Voter{Promised: number, Accepted: number, Value: table.Encode(settled)}, now)
+		m, ask := blank("c5", now)
+		tell(m, ask, []*Machine{first, voting("c2", before, ballot.Voter{}, now), voting("c4", before, ballot.Voter{}, now)}, now)
+		So(votes(m, settled, now), ShouldEqual, 0)
+	})
+	Convey("What was told to an earlier run of the program, before another disk was lost, counts for nothing", t, func() {
+		now := time.Hour
+		m, ask := blank("c3", now)
+		stale := ask
+		stale.Life--
+		tell(m, stale, []*Machine{
+			voting("c2", before, ballot.Voter{}, now), voting("c4", before, ballot.Voter{}, now), voting("c5", before, ballot.Voter{}, now),
+		}, now)
+		So(m.Voters(), ShouldBeEmpty)
+		So(m.IsLost(), ShouldBeTrue)
+	})
+}
+
 func TestOlderFilesThanWereSynced(t *testing.T) {
 	Convey("A machine whose newest files are unsound knows too little to follow a newer epoch: it votes only once a majority has told it, and not in the epoch after", t, func() {
 		now := time.Hour
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -70,11 +70,15 @@
 	// Formed tells that all agreed.
 	Formed struct{ Cluster string }
 	// AskStanding asks how things stand.
-	AskStanding struct{}
-	// Standing tells it.
+	AskStanding struct{ Life int64 }
+	// Standing tells it. Voted is the last epoch on which the teller may have
+	// voted; Life is that of the ask, which a build that does not know it leaves
+	// out.
 	Standing struct {
 		Identity Identity
 		Decided  Record
+		Voted    uint64
+		Life     int64
 	}
 	// Renew asks for primacy for a bounded time.
 	// Life tells the asker's run of the program, which no answer outlives; a
@@ -406,6 +410,15 @@
 // may have done so before it lost its disk.
 func (m *Machine) IsMuted() bool { return m.ballots.Muted > m.ballots.Decided.Epoch }
 
+// voted gives the last epoch on which this machine may have accepted a record.
+func (m *Machine) voted() uint64 {
+	last := max(m.ballots.Decided.Epoch, m.ballots.Muted)
+	if m.ballots.Voter.Accepted.Name != "" {
+		last = max(last, m.ballots.Decided.Epoch+1)
+	}
+	return last
+}
+
 // Wall gives the wall clock that a majority of the disk machines agree on:
 // the median, so that one skewed clock moves nothing. While primacy is held
 // it only creeps, so that the nodes' reckonings of it stay alike.
@@ -501,7 +514,7 @@
 		return
 	}
 	m.failQueue()
-	isBackup := m.ballots.Decided.Backup == m.self
+	isBackup := m.ballots.Decided.Backup == m.self && !m.IsMuted()
 	isSilent := now >= m.grantAt+m.timing.Primacy && now >= m.started+m.timing.Primacy
 	if isBackup && isSilent && m.round == nil && now >= m.waitUntil {
 		m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -41,9 +41,9 @@
 	addHear(heard((*Machine).onForm))
 	addHear(heard((*Machine).onFormAck))
 	addHear(heard((*Machine).onFormed))
-	addHear(heard(func(m *Machine, from string, _ AskStanding, _ time.Duration) {
+	addHear(heard(func(m *Machine, from string, ask AskStanding, _ time.Duration) {
 		if m.identity != nil && m.identity.IsFormed && !m.isLost {
-			m.send(from, Standing{Identity: *m.identity, Decided: m.ballots.Decided})
+			m.send(from, Standing{Identity: *m.identity, Decided: m.ballots.Decided, Voted: m.voted(), Life: ask.Life})
 		}
 	}))
 	addHear(heard((*Machine).onStanding))
@@ -147,7 +147,7 @@
 	m.asked = now
 	for _, name := range asked {
 		if name != m.self {
-			m.send(name, AskStanding{})
+			m.send(name, AskStanding{Life: m.life})
 		}
 	}
 	if voters := m.founders(now); m.identity == nil && len(voters) > 0 {
@@ -218,7 +218,8 @@
 }
 
 func (m *Machine) onStanding(from string, standing Standing, now time.Duration) {
-	if m.identity != nil && m.identity.IsFormed && !m.isLost {
+	isStale := standing.Life != 0 && standing.Life != m.life
+	if isStale || (m.identity != nil && m.identity.IsFormed && !m.isLost) {
 		return
 	}
 	if !slices.Contains(standing.Identity.Voters, m.self) {
@@ -235,12 +236,13 @@
 		return
 	}
 	m.stands[from] = standing
-	best, count := standing, 0
+	best, count, voted := standing, 0, uint64(0)
 	for _, other := range m.stands {
 		if other.Identity.Cluster != standing.Identity.Cluster {
 			continue
 		}
 		count++
+		voted = max(voted, other.Voted)
 		if other.Decided.Epoch > best.Decided.Epoch {
 			best = other
 		}
@@ -252,7 +254,7 @@
 	identity.Self, identity.IsFormed = m.self, true
 	m.identity = &identity
 	m.ballots.Decided = best.Decided
-	m.ballots.Muted = max(m.ballots.Muted, best.Decided.Epoch+1)
+	m.ballots.Muted = max(m.ballots.Muted, best.Decided.Epoch+1, voted+1)
 	m.ballots.Voter = ballot.Voter{}
 	m.isTold = true
 	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
@@ -357,6 +359,9 @@
 }
 
 func (m *Machine) propose(record Record, now time.Duration) {
+	if m.IsMuted() {
+		return
+	}
 	m.roundNo = max(m.roundNo, m.ballots.Voter.Promised.Round) + 1
 	number := ballot.Number{Round: m.roundNo, Name: m.self}
 	m.round = ballot.NewRound(number, len(m.Voters()), table.Encode(record), now)
@@ -366,9 +371,6 @@
 	m.waitUntil = now + m.timing.Reply/2 + time.Duration(rank)*m.timing.Reply/4
 	prepare := Prepare{Decided: m.ballots.Decided, Number: number}
 	m.others(func(name string) { m.send(name, prepare) })
-	if m.ballots.Muted > m.ballots.Decided.Epoch {
-		return
-	}
 	if m.ballots.Voter.Promise(number) {
 		m.saveBallots()
 		m.onPromised(m.self, Promised{
@@ -411,8 +413,7 @@
 		return
 	}
 	accept := Accept{Epoch: m.roundFor.Epoch + 1, Number: m.round.Number, Value: m.round.Value}
-	isMute := m.ballots.Muted >= accept.Epoch
-	isOurs := !isMute && m.ballots.Voter.Accept(accept.Number, accept.Value)
+	isOurs := m.ballots.Voter.Accept(accept.Number, accept.Value)
 	if isOurs {
 		m.saveBallots()
 	}
