Sync control's files beside its loop, and hold back what rests on them

Cause: the loop that renews primacy, votes and answers synced each file itself. A disk that hung for seconds silenced the machine altogether, also where nothing that it had to say rested on the file; and a write that the disk refused ended the process, which started again on the same disk.

Ruled out: a queue in front of the loop (it is the loop's own state that a vote needs); ending the process on a refusal that may pass, which costs every role the machine holds.

Change: the machine's effects pass a gate that holds each back until the files it rests on are synced: votes and grants wait for identity and ballots, what is acknowledged or published for all. Saves run one at a time, in order, on a stage of their own; one that waits is replaced by the next of its kind. A primary whose disk has owed a sync for longer than a backup's is waited for renews no more and stands for nothing; writes not begun are refused once primacy lapses. The start of a program no longer fails where files left aside cannot be removed. The simulator plays the same gate, and disks that hang, refuse for a while and are slow.

The simulator's "control disk full" no longer starts a process that ended, as none does.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -24,6 +24,7 @@
 	"tansyseam.example/pooler/state/synced"
 	"tansyseam.example/pooler/state/table"
 	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/run"
 )
 
 // ErrFolder says that a data folder cannot be used.
@@ -36,10 +37,12 @@
 	node  *fleet.Node
 	log   hclog.Logger
 	store *synced.Store
-	die   func(error)
 
-	queue   chan func()
-	machine *epoch.Machine
+	queue     chan func()
+	machine   *epoch.Machine
+	gate      epoch.Gate
+	disk      func(work func())
+	isRefused bool
 
 	mutex    sync.Mutex
 	answers  map[uint64]func(epoch.Answer)
@@ -63,21 +66,20 @@
 	seams    Seams
 }
 
-// Open reads the data folder and makes the program; die is told what ends
-// the process when a file cannot be synced, and seams, where given, how the
-// platform and synced instances are spoken to.
-func Open(node *fleet.Node, place settings.Settings, die func(error), seams *Seams) (*Control, error) {
+// Open reads the data folder and makes the program; seams tells, where given,
+// how the platform and synced instances are spoken to.
+func Open(node *fleet.Node, place settings.Settings, seams *Seams) (*Control, error) {
 	folder, err := synced.OpenFolder(place.Data)
 	if err != nil {
 		return nil, errors.WithType(err, ErrFolder)
 	}
-	return OpenOn(node, place, folder, die, seams)
+	return OpenOn(node, place, folder, seams)
 }
 
 // OpenOn does the same on any Disk.
-func OpenOn(node *fleet.Node, place settings.Settings, disk synced.Disk, die func(error), seams *Seams) (*Control, error) {
+func OpenOn(node *fleet.Node, place settings.Settings, disk synced.Disk, seams *Seams) (*Control, error) {
 	c := &Control{
-		node: node, log: node.Log, store: synced.NewStore(disk, 4), die: die,
+		node: node, log: node.Log, store: synced.NewStore(disk, 4), disk: func(work func()) { work() },
 		queue: make(chan func(), 4096), answers: map[uint64]func(epoch.Answer){},
 		asks: map[uint64]func(any){}, seekers: map[string]*ballot.Seeker{}, attended: map[string]bool{},
 		evidence: map[string]*evidence{},
@@ -126,6 +128,8 @@
 
 // Start begins to act; the node must have been started.
 func (c *Control) Start() {
+	stage := run.NewStage(c.node.Crew, "disk", 1, 1, func(work func()) { work() })
+	c.disk = func(work func()) { stage.Offer(work) }
 	c.node.Crew.Loop(c.queue, beatPace, c.beat)
 	c.node.Crew.Loop(nil, hotPace, c.duties)
 }
@@ -173,17 +177,23 @@
 		slices.Sort(peers.Names)
 		c.step(peers)
 	}
-	c.step(epoch.Tick{Wall: time.Now().UnixNano()})
+	c.step(epoch.Tick{Wall: time.Now().UnixNano(), Owed: c.gate.Owed(c.node.Now())})
 }
 
 func (c *Control) step(event any) {
 	now := c.node.Now()
-	effects := c.machine.Step(event, now)
-	c.mutex.Lock()
-	c.primacy = 0
+	c.pass(c.gate.Pass(c.machine.Step(event, now), now), now)
+}
+
+// pass lowers primacy before the effects are carried out, and raises it after
+// them, once what a change of role rests on is synced.
+func (c *Control) pass(effects []epoch.Effect, now time.Duration) {
+	primacy := time.Duration(0)
 	if c.machine.IsPrimary(now) {
-		c.primacy = c.machine.Primacy()
+		primacy = c.machine.Primacy()
 	}
+	c.mutex.Lock()
+	c.primacy = min(c.primacy, primacy)
 	c.wall, c.wallAt = c.machine.Wall(now), now
 	c.steer.Trust(c.machine.IsClockSure())
 	c.voters = c.machine.Voters()
@@ -192,30 +202,57 @@
 	for _, effect := range effects {
 		c.carry(effect)
 	}
+	if !c.gate.IsTurning() {
+		c.mutex.Lock()
+		c.primacy = primacy
+		c.mutex.Unlock()
+	}
+	c.keep(now)
 }
 
-func (c *Control) carry(effect any) {
-	if send, isOne := effect.(epoch.Send); isOne {
-		if node, isKnown := c.node.Find(send.To); isKnown {
-			c.node.Hub.Send(node.Link, send.Body)
-		}
+func (c *Control) keep(now time.Duration) {
+	work, isDue := c.gate.Next(now)
+	if !isDue {
 		return
 	}
-	if save, isOne := effect.(epoch.Save); isOne {
+	c.disk(func() {
 		began := time.Now()
-		if err := c.store.Put(save.Kind, save.Sequence, save.Data); err != nil {
-			c.die(err)
-			return
-		}
-		c.node.Counts.Add("files_synced", 1)
+		err := c.write(work)
 		c.node.Counts.Add("files_sync_us", time.Since(began).Microseconds())
-		return
+		c.do(func() { c.kept(err) })
+	})
+}
+
+func (c *Control) write(work epoch.Effect) error {
+	if save, isSave := work.(epoch.Save); isSave {
+		return c.store.Put(save.Kind, save.Sequence, save.Data)
 	}
-	if _, isOne := effect.(epoch.Clean); isOne {
-		for _, kind := range epoch.Kinds() {
-			if err := c.store.Clean(kind); err != nil {
-				c.die(err)
-			}
+	for _, kind := range epoch.Kinds() {
+		if err := c.store.Clean(kind); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Control) kept(err error) {
+	name := "files_synced"
+	if err != nil {
+		name = "files_refused"
+	}
+	c.node.Counts.Add(name, 1)
+	if isRefused := err != nil; isRefused != c.isRefused {
+		c.isRefused = isRefused
+		c.log.Warn("disk", "refuses", isRefused, "error", err)
+	}
+	now := c.node.Now()
+	c.pass(c.gate.Done(err == nil, now), now)
+}
+
+func (c *Control) carry(effect any) {
+	if send, isOne := effect.(epoch.Send); isOne {
+		if node, isKnown := c.node.Find(send.To); isKnown {
+			c.node.Hub.Send(node.Link, send.Body)
 		}
 		return
 	}
--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -62,7 +62,7 @@
 			return b.status, b.err
 		},
 	}
-	if b.Control, err = Open(node, place, func(err error) { t.Error(err) }, seams); err != nil {
+	if b.Control, err = Open(node, place, seams); err != nil {
 		t.Fatal(err)
 	}
 	return b
--- a/pooler/cmd/seamc/main.go
+++ b/pooler/cmd/seamc/main.go
@@ -27,9 +27,9 @@
 }
 
 func main() {
-	os.Exit(start.Main("seamc", os.Args[1:], func(node *fleet.Node, place settings.Settings, die func(error)) (start.Program, error) {
+	os.Exit(start.Main("seamc", os.Args[1:], func(node *fleet.Node, place settings.Settings) (start.Program, error) {
 		way := manners[place.Manner](node)
-		made, err := control.Open(node, place, die, way.seams)
+		made, err := control.Open(node, place, way.seams)
 		if err != nil {
 			return start.Program{}, err
 		}
--- a/pooler/cmd/seamd/main.go
+++ b/pooler/cmd/seamd/main.go
@@ -31,7 +31,7 @@
 }
 
 func main() {
-	os.Exit(start.Main("seamd", os.Args[1:], func(node *fleet.Node, place settings.Settings, _ func(error)) (start.Program, error) {
+	os.Exit(start.Main("seamd", os.Args[1:], func(node *fleet.Node, place settings.Settings) (start.Program, error) {
 		return manners[place.Manner](node)
 	}))
 }
--- a/pooler/cmd/start/start.go
+++ b/pooler/cmd/start/start.go
@@ -52,7 +52,7 @@
 func (Silent) Error(string, ...any) {}
 
 // Main runs a daemon and gives its exit code.
-func Main(program string, args []string, open func(*fleet.Node, settings.Settings, func(error)) (Program, error)) int {
+func Main(program string, args []string, open func(*fleet.Node, settings.Settings) (Program, error)) int {
 	logging.SetLogger(Silent{})
 	place, err := settings.Parse(program, args)
 	if err != nil {
@@ -75,11 +75,7 @@
 		log.Error("cannot start", "error", err)
 		return ExitFault
 	}
-	die := func(err error) {
-		log.Error("a file could not be synced: stopping rather than going on", "error", err)
-		os.Exit(ExitDisk)
-	}
-	made, err := open(node, place, die)
+	made, err := open(node, place)
 	if err != nil {
 		log.Error("cannot start", "error", err)
 		return ExitDisk
--- a/pooler/coordination/epoch/amnesia_test.go
+++ b/pooler/coordination/epoch/amnesia_test.go
@@ -176,3 +176,7 @@
 		}
 	})
 }
+
+func buildOf(key string) func(*table.Table) []table.Put {
+	return func(*table.Table) []table.Put { return []table.Put{{Key: key, Data: []byte("x")}} }
+}
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -163,8 +163,12 @@
 
 // Events.
 type (
-	// Tick is a clock event with this machine's wall clock.
-	Tick struct{ Wall int64 }
+	// Tick is a clock event with this machine's wall clock. Owed says for how
+	// long the disk has owed a sync.
+	Tick struct {
+		Wall int64
+		Owed time.Duration
+	}
 	// Heard is a message.
 	Heard struct {
 		From string
@@ -191,7 +195,7 @@
 		To   string
 		Body any
 	}
-	// Save syncs a file before what follows; when it fails the process ends.
+	// Save syncs a file before what follows and rests on it.
 	Save struct {
 		Kind     string
 		Sequence uint64
@@ -280,6 +284,7 @@
 	started     time.Duration
 	isLost      bool
 	isTold      bool
+	owed        time.Duration
 	isUnsettled bool
 	isAhead     bool
 
@@ -498,7 +503,7 @@
 }
 
 func (m *Machine) onTick(tick Tick, now time.Duration) {
-	m.wall, m.wallAt = tick.Wall, now
+	m.wall, m.wallAt, m.owed = tick.Wall, now, tick.Owed
 	if m.life == 0 {
 		m.life = tick.Wall
 	}
@@ -514,14 +519,25 @@
 		return
 	}
 	m.failQueue()
-	isBackup := m.ballots.Decided.Backup == m.self && !m.IsMuted()
+	isBackup := m.ballots.Decided.Backup == m.self && !m.IsMuted() && !m.isStalled()
 	isSilent := now >= m.grantAt+m.timing.Primacy && now >= m.started+m.timing.Primacy
 	if isBackup && isSilent && m.round == nil && now >= m.waitUntil {
 		m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
 	}
 }
 
+// isStalled says that the disk has owed a sync for longer than a backup's is
+// waited for.
+func (m *Machine) isStalled() bool { return m.owed > m.timing.Reply }
+
 func (m *Machine) tickPrimary(now time.Duration) {
+	if m.isStalled() {
+		m.refuseIdle(now)
+		return
+	}
+	if m.pending != nil && m.owed > 0 {
+		m.pending.sent = now
+	}
 	if now-m.renewed >= m.timing.Renew {
 		m.renewed = now
 		m.setClock(now)
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -315,12 +315,24 @@
 		m.emit(Answer{Token: m.pending.token, IsUnknown: true})
 		m.pending = nil
 	}
+	m.refuseQueue()
+}
+
+func (m *Machine) refuseQueue() {
 	for _, submit := range m.queue {
 		m.emit(Answer{Token: submit.Token})
 	}
 	m.queue = nil
 }
 
+// refuseIdle refuses what waits and was not begun while the disk hangs and
+// primacy has lapsed.
+func (m *Machine) refuseIdle(now time.Duration) {
+	if !m.hasPrimacy(now) {
+		m.refuseQueue()
+	}
+}
+
 func (m *Machine) onRenew(from string, renew Renew, now time.Duration) {
 	m.adopt(renew.Record, now, "renewal")
 	if m.identity == nil || !m.identity.IsFormed || m.isLost {
@@ -455,6 +467,10 @@
 		return
 	}
 	m.queue = append(m.queue, submit)
+	if m.isStalled() {
+		m.refuseIdle(now)
+		return
+	}
 	m.pump(now)
 }
 
--- a/pooler/state/synced/synced.go
+++ b/pooler/state/synced/synced.go
@@ -20,7 +20,8 @@
 // ErrNone says that no sound version of a kind is held.
 const ErrNone = errors.ConstError("no sound version on disk")
 
-// ErrSync says that a write did not reach the disk; the process must stop.
+// ErrSync says that a write did not reach the disk: it may be tried again, and
+// nothing may rest on it before that.
 const ErrSync = errors.ConstError("version not synced")
 
 // Disk is the little that the store asks of a file system, so that a
@@ -47,9 +48,7 @@
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, ".aside") {
-			if err := folder.Remove(name); err != nil {
-				return "", errors.Trace(err)
-			}
+			_ = folder.Remove(name)
 		}
 	}
 	return folder, nil
@@ -69,6 +68,7 @@
 	for _, step := range steps {
 		if err := step(); err != nil {
 			_ = file.Close()
+			_ = os.Remove(aside)
 			return errors.Trace(err)
 		}
 	}
--- a/proof/scale/real.go
+++ b/proof/scale/real.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	made.inside = node
-	program, err := control.Open(node, place, func(error) {}, nil)
+	program, err := control.Open(node, place, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -26,8 +26,8 @@
 	seek   map[string]*ballot.Seeker
 	heard  map[string]steer.Heard
 
-	isBusy  bool
-	inbox   []func()
+	gate    epoch.Gate
+	primacy time.Duration
 	answers map[uint64]func(epoch.Answer)
 	token   uint64
 	asks    map[uint64]func(steer.News)
@@ -38,8 +38,8 @@
 }
 
 func (c *control) start() {
-	c.isUp, c.isFrozen, c.isBusy = true, false, false
-	c.inbox, c.backlog = nil, nil
+	c.isUp, c.isFrozen, c.backlog = true, false, nil
+	c.gate, c.primacy = epoch.Gate{}, 0
 	c.answers = map[uint64]func(epoch.Answer){}
 	c.asks = map[uint64]func(steer.News){}
 	c.seek = map[string]*ballot.Seeker{}
@@ -62,82 +62,86 @@
 	c.do(5*time.Millisecond, c.duties)
 }
 
-func (c *control) isPrimary() bool { return c.epoch.IsPrimary(c.clock()) }
+func (c *control) isPrimary() bool { return c.clock() < c.primacy }
 
 func (c *control) wallNow() int64 { return c.epoch.Wall(c.clock()) }
 
-func (c *control) act(work func()) {
-	if c.isBusy {
-		c.inbox = append(c.inbox, work)
-		return
-	}
-	work()
-}
-
 func (c *control) beat() {
-	c.act(func() {
-		var names []string
-		for _, other := range c.fleet.controls {
-			names = append(names, other.name)
-		}
-		slices.Sort(names)
-		c.step(epoch.Peers{Names: names})
-	})
-	c.act(func() { c.step(epoch.Tick{Wall: c.wall()}) })
+	var names []string
+	for _, other := range c.fleet.controls {
+		names = append(names, other.name)
+	}
+	slices.Sort(names)
+	c.step(epoch.Peers{Names: names})
+	c.step(epoch.Tick{Wall: c.wall(), Owed: c.gate.Owed(c.clock())})
 	c.do(20*time.Millisecond, c.beat)
 }
 
-func (c *control) step(event any) { c.carry(c.epoch.Step(event, c.clock())) }
+func (c *control) step(event any) { c.pass(c.gate.Pass(c.epoch.Step(event, c.clock()), c.clock())) }
 
-func (c *control) carry(effects []epoch.Effect) {
-	for at, effect := range effects {
-		if save, isSave := effect.(epoch.Save); isSave {
-			rest := effects[at+1:]
-			c.isBusy = true
-			if c.crashAt > 0 {
-				c.crashAt--
-				if c.crashAt == 0 {
-					c.fleet.bounce(&c.machine, c.start, c.world.between(200*time.Millisecond, 3*time.Second))
-					return
-				}
-			}
-			c.do(c.world.between(300*time.Microsecond, 6*time.Millisecond), func() { c.synced(save, rest) })
+func (c *control) pass(effects []epoch.Effect) {
+	primacy := time.Duration(0)
+	if c.epoch.IsPrimary(c.clock()) {
+		primacy = c.epoch.Primacy()
+	}
+	c.primacy = min(c.primacy, primacy)
+	for _, effect := range effects {
+		c.carry(effect)
+	}
+	if !c.gate.IsTurning() {
+		c.primacy = primacy
+	}
+	c.keep()
+}
+
+func (c *control) keep() {
+	work, isDue := c.gate.Next(c.clock())
+	if !isDue {
+		return
+	}
+	if c.crashAt > 0 {
+		c.crashAt--
+		if c.crashAt == 0 {
+			c.fleet.bounce(&c.machine, c.start, c.world.between(200*time.Millisecond, 3*time.Second))
 			return
 		}
-		c.carryOne(effect)
-	}
-	for len(c.inbox) > 0 && !c.isBusy {
-		next := c.inbox[0]
-		c.inbox = c.inbox[1:]
-		next()
 	}
+	c.do(c.disk.slow+c.world.between(300*time.Microsecond, 6*time.Millisecond), func() { c.kept(work) })
 }
 
-func (c *control) synced(save epoch.Save, rest []epoch.Effect) {
-	if err := c.store.Put(save.Kind, save.Sequence, save.Data); err != nil {
-		c.world.note("%s stops: %v", c.name, err)
-		c.crash()
+func (c *control) kept(work epoch.Effect) {
+	if c.world.now < c.disk.hangs {
+		c.do(c.disk.hangs-c.world.now, func() { c.kept(work) })
 		return
 	}
-	c.isBusy = false
-	c.carry(rest)
+	err := c.write(work)
+	if err != nil {
+		c.world.note("%s is refused: %v", c.name, err)
+	}
+	c.pass(c.gate.Done(err == nil, c.clock()))
+}
+
+func (c *control) write(work epoch.Effect) error {
+	if save, isSave := work.(epoch.Save); isSave {
+		return c.store.Put(save.Kind, save.Sequence, save.Data)
+	}
+	for _, kind := range epoch.Kinds() {
+		if err := c.store.Clean(kind); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func (c *control) carryOne(effect epoch.Effect) {
+func (c *control) carry(effect epoch.Effect) {
 	if send, isOne := effect.(epoch.Send); isOne {
 		target := c.fleet.controlBy(send.To)
 		body, from := send.Body, c.name
 		c.world.send(&c.machine, &target.machine, func() {
-			target.act(func() { target.step(epoch.Heard{From: from, Body: body}) })
+			target.step(epoch.Heard{From: from, Body: body})
 		})
 		return
 	}
-	if _, isOne := effect.(epoch.Clean); isOne {
-		for _, kind := range epoch.Kinds() {
-			_ = c.store.Clean(kind)
-		}
-		return
-	}
 	if answer, isOne := effect.(epoch.Answer); isOne {
 		done := c.answers[answer.Token]
 		delete(c.answers, answer.Token)
@@ -162,7 +166,7 @@
 	c.token++
 	token := c.token
 	c.answers[token] = done
-	c.act(func() { c.step(epoch.Submit{Token: token, Build: build}) })
+	c.step(epoch.Submit{Token: token, Build: build})
 }
 
 func (c *control) flush() {
--- a/proof/sim/disk.go
+++ b/proof/sim/disk.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"slices"
+	"time"
 )
 
 type disk struct {
 	files     map[string][]byte
 	isFailing bool
+	slow      time.Duration
+	hangs     time.Duration
 	writes    int
 }
 
@@ -53,3 +56,5 @@
 		d.files[last] = d.files[last][:len(d.files[last])/2]
 	}
 }
+
+func (d *disk) mend() { d.isFailing, d.slow, d.hangs = false, 0, 0 }
--- a/proof/sim/lines_trouble.go
+++ b/proof/sim/lines_trouble.go
@@ -136,7 +136,7 @@
 			l.world.after(span, func() { l.isCut = false })
 		}},
 	}
-	for _, name := range []string{"control crash", "control primary crash", "control crash between syncs", "control freeze", "control cut off", "control disk lost", "drops", "links slow"} {
+	for _, name := range []string{"control crash", "control primary crash", "control crash between syncs", "control freeze", "control cut off", "control disk lost", "control disk full", "control primary's disk hangs", "control disk slow", "drops", "links slow"} {
 		at := slices.IndexFunc(troubles, func(one trouble) bool { return one.name == name })
 		lineTroubles = append(lineTroubles, lineTrouble{name, func(l *lines, span time.Duration) { troubles[at].act(l.fleet, span) }})
 	}
@@ -211,7 +211,8 @@
 	l.wait, l.refusals, l.isCut, l.isDouble = 0, 0, false, false
 	l.troubled = l.world.now
 	for _, disk := range l.controls {
-		disk.disk.isFailing, disk.crashAt = false, 0
+		disk.disk.mend()
+		disk.crashAt = 0
 		disk.thaw()
 		if !disk.isUp {
 			disk.start()
--- a/proof/sim/trouble.go
+++ b/proof/sim/trouble.go
@@ -100,12 +100,20 @@
 	{"control disk full", func(f *fleet, span time.Duration) {
 		disk := pick(f, f.controls)
 		disk.disk.isFailing = true
-		f.world.after(span, func() {
-			disk.disk.isFailing = false
-			if !disk.isUp {
-				disk.start()
+		f.world.after(span, func() { disk.disk.isFailing = false })
+	}},
+	{"control disk hangs", func(f *fleet, span time.Duration) { pick(f, f.controls).disk.hangs = f.world.now + span }},
+	{"control primary's disk hangs", func(f *fleet, span time.Duration) {
+		for _, disk := range f.controls {
+			if disk.isUp && disk.isPrimary() {
+				disk.disk.hangs = f.world.now + span
 			}
-		})
+		}
+	}},
+	{"control disk slow", func(f *fleet, span time.Duration) {
+		disk := pick(f, f.controls)
+		disk.disk.slow = f.world.between(20*time.Millisecond, 300*time.Millisecond)
+		f.world.after(span, func() { disk.disk.slow = 0 })
 	}},
 	{"node crash", func(f *fleet, span time.Duration) {
 		one := pick(f, f.nodes)
@@ -494,7 +502,8 @@
 	f.platform.wait, f.platform.refusals, f.platform.isCut = 0, 0, false
 	f.platform.isLoose = false
 	for _, disk := range f.controls {
-		disk.disk.isFailing, disk.crashAt = false, 0
+		disk.disk.mend()
+		disk.crashAt = 0
 		disk.thaw()
 		if !disk.isUp {
 			disk.start()
