--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -41,9 +41,9 @@
 	addHear(heard((*Machine).onForm))
 	addHear(heard((*Machine).onFormAck))
 	addHear(heard((*Machine).onFormed))
-	addHear(heard(func(m *Machine, from string, _ AskStanding, _ time.Duration) {
+	addHear(heard(func(m *Machine, from string, ask AskStanding, _ time.Duration) {
 		if m.identity != nil && m.identity.IsFormed && !m.isLost {
-			m.send(from, Standing{Identity: *m.identity, Decided: m.ballots.Decided})
+			m.send(from, Standing{Identity: *m.identity, Decided: m.ballots.Decided, Voted: m.voted(), Life: ask.Life})
 		}
 	}))
 	addHear(heard((*Machine).onStanding))
@@ -147,7 +147,7 @@
 	m.asked = now
 	for _, name := range asked {
 		if name != m.self {
-			m.send(name, AskStanding{})
+			m.send(name, AskStanding{Life: m.life})
 		}
 	}
 	if voters := m.founders(now); m.identity == nil && len(voters) > 0 {
@@ -209,34 +209,40 @@
 		record.Backup = m.identity.Voters[1]
 	}
 	m.ballots.Decided = record
+	m.isLost = false
 	m.saveBallots()
 	m.identity.IsFormed = true
 	m.saveIdentity()
-	m.isLost = false
 	m.grantAt = now
 	m.turned(record, "fleet formed")
 }
 
 func (m *Machine) onStanding(from string, standing Standing, now time.Duration) {
-	if m.identity != nil && m.identity.IsFormed && !m.isLost {
+	isStale := standing.Life != 0 && standing.Life != m.life
+	if isStale || (m.identity != nil && m.identity.IsFormed && !m.isLost) {
 		return
 	}
 	if !slices.Contains(standing.Identity.Voters, m.self) {
 		m.follow(standing)
 		return
 	}
-	if m.identity != nil && !m.identity.IsFormed && m.identity.Cluster == standing.Identity.Cluster {
+	if m.identity != nil && !m.identity.IsFormed && !m.isLost && m.identity.Cluster == standing.Identity.Cluster {
 		m.beFormed(now)
 		m.adopt(standing.Decided, now, "told standing")
 		return
 	}
+	if m.isTold {
+		m.adopt(standing.Decided, now, "told standing")
+		return
+	}
 	m.stands[from] = standing
-	best, count := standing, 0
+	best, count, voted := standing, 0, uint64(0)
 	for _, other := range m.stands {
 		if other.Identity.Cluster != standing.Identity.Cluster {
 			continue
 		}
 		count++
+		voted = max(voted, other.Voted)
 		if other.Decided.Epoch > best.Decided.Epoch {
 			best = other
 		}
@@ -244,19 +250,17 @@
 	if count < len(standing.Identity.Voters)/2+1 {
 		return
 	}
-	if m.identity != nil && m.identity.IsFormed && m.ballots.Decided == best.Decided && m.ballots.Muted > best.Decided.Epoch {
-		return
-	}
 	identity := best.Identity
 	identity.Self, identity.IsFormed = m.self, true
 	m.identity = &identity
 	m.ballots.Decided = best.Decided
-	m.ballots.Muted = best.Decided.Epoch + 1
+	m.ballots.Muted = max(m.ballots.Muted, best.Decided.Epoch+1, voted+1)
 	m.ballots.Voter = ballot.Voter{}
+	m.isTold = true
+	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.saveBallots()
 	m.saveIdentity()
 	m.emit(Clean{})
-	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.started = now
 	m.turned(best.Decided, "disk was lost; a majority told where things stand")
 }
@@ -274,14 +278,14 @@
 }
 
 func (m *Machine) adopt(record Record, now time.Duration, why string) {
-	if record.Epoch <= m.ballots.Decided.Epoch || m.identity == nil || !m.identity.IsFormed {
+	if record.Epoch <= m.ballots.Decided.Epoch || m.identity == nil || !m.identity.IsFormed || (m.isLost && !m.isTold) {
 		return
 	}
 	wasNamed := m.isNamed()
 	m.ballots.Decided = record
 	m.ballots.Voter = ballot.Voter{}
-	m.saveBallots()
 	m.isLost = m.isLost && (record.Primary == m.self || record.Backup == m.self)
+	m.saveBallots()
 	m.isUnsettled = false
 	m.isAhead = m.isAhead && record.Primary == m.self && record.Backup != ""
 	m.round, m.repairing = nil, nil
@@ -311,12 +315,24 @@
 		m.emit(Answer{Token: m.pending.token, IsUnknown: true})
 		m.pending = nil
 	}
+	m.refuseQueue()
+}
+
+func (m *Machine) refuseQueue() {
 	for _, submit := range m.queue {
 		m.emit(Answer{Token: submit.Token})
 	}
 	m.queue = nil
 }
 
+// refuseIdle refuses what waits and was not begun while the disk hangs and
+// primacy has lapsed.
+func (m *Machine) refuseIdle(now time.Duration) {
+	if !m.hasPrimacy(now) {
+		m.refuseQueue()
+	}
+}
+
 func (m *Machine) onRenew(from string, renew Renew, now time.Duration) {
 	m.adopt(renew.Record, now, "renewal")
 	if m.identity == nil || !m.identity.IsFormed || m.isLost {
@@ -355,6 +371,9 @@
 }
 
 func (m *Machine) propose(record Record, now time.Duration) {
+	if m.IsMuted() {
+		return
+	}
 	m.roundNo = max(m.roundNo, m.ballots.Voter.Promised.Round) + 1
 	number := ballot.Number{Round: m.roundNo, Name: m.self}
 	m.round = ballot.NewRound(number, len(m.Voters()), table.Encode(record), now)
@@ -364,9 +383,6 @@
 	m.waitUntil = now + m.timing.Reply/2 + time.Duration(rank)*m.timing.Reply/4
 	prepare := Prepare{Decided: m.ballots.Decided, Number: number}
 	m.others(func(name string) { m.send(name, prepare) })
-	if m.ballots.Muted > m.ballots.Decided.Epoch {
-		return
-	}
 	if m.ballots.Voter.Promise(number) {
 		m.saveBallots()
 		m.onPromised(m.self, Promised{
@@ -409,8 +425,7 @@
 		return
 	}
 	accept := Accept{Epoch: m.roundFor.Epoch + 1, Number: m.round.Number, Value: m.round.Value}
-	isMute := m.ballots.Muted >= accept.Epoch
-	isOurs := !isMute && m.ballots.Voter.Accept(accept.Number, accept.Value)
+	isOurs := m.ballots.Voter.Accept(accept.Number, accept.Value)
 	if isOurs {
 		m.saveBallots()
 	}
@@ -452,6 +467,10 @@
 		return
 	}
 	m.queue = append(m.queue, submit)
+	if m.isStalled() {
+		m.refuseIdle(now)
+		return
+	}
 	m.pump(now)
 }
 
