Give an asker the instances that turned since its roll, not the whole roll

Cause: each change of an instance sent the list of all instances to every node. Ruled out: a longer wait, since leases go with the same answer. Change: an entry of the roll keeps the number at which it turned; the answer has those after the asker's number, all where its roll is of another tenure. The control primary enlists the one instance that announced itself, where it sorted and compared all of them at each announcement.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -58,6 +58,7 @@
 	known    msg.CaseAnswer
 	knownAt  time.Duration
 	seekAt   time.Duration
+	rollAt   time.Duration
 	peersAt  time.Duration
 	awayAt   time.Duration
 	seams    Seams
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -19,6 +19,8 @@
 	hotPace   = 25 * time.Millisecond
 	learnPace = time.Second
 	awayPace  = 300 * time.Millisecond
+	// rollPace is the pace at which instances long unheard leave the roll.
+	rollPace = 10 * time.Second
 )
 
 // The duty of all synced databases is one.
@@ -41,6 +43,10 @@
 			c.known = answer
 		}
 	}
+	if now >= c.rollAt+rollPace {
+		c.rollAt = now
+		c.roster()
+	}
 	for _, database := range c.known.Databases {
 		if !slices.Contains(c.known.Synced, database) {
 			c.seek("failover/"+database, func() { c.attend(database) })
--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -59,10 +59,20 @@
 	if !c.isPrimary() || !c.node.Take(instance) {
 		return msg.Announced{}
 	}
-	c.roster()
+	c.enlist(instance.Name)
 	return msg.Announced{IsTaken: true, Door: c.node.Self().Door}
 }
 
+func (c *Control) enlist(name string) {
+	heard, _ := c.node.Heard(name)
+	c.mutex.Lock()
+	isNew := c.steer.Enlist(heard.Instance)
+	c.mutex.Unlock()
+	if isNew {
+		c.flush()
+	}
+}
+
 func (c *Control) roster() {
 	var instances []view.Instance
 	for _, one := range c.node.Instances(5 * time.Minute) {
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -286,6 +286,17 @@
 	return list
 }
 
+// Heard gives an instance as it last announced itself.
+func (n *Node) Heard(name string) (Heard, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	held, isHeld := n.instances[name]
+	if !isHeld {
+		return Heard{}, false
+	}
+	return *held, true
+}
+
 // Take notes what an instance says of itself; false where it belongs to
 // another database than it said before. A late call changes nothing.
 func (n *Node) Take(instance view.Instance) bool {
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -79,8 +79,9 @@
 	// Held is how long the ask waited for its answer.
 	Held time.Duration
 	Doc  *view.Doc
-	// Roll numbers Instances, which is nil where the asker has that roll.
-	// What is not on it may still live; what has gone is marked so.
+	// Roll numbers Instances, which are those that turned since the asker's
+	// roll, all of them where that is of another tenure. What is not among
+	// them may still live; what has gone is marked so.
 	Roll      Roll
 	Instances []view.Instance
 }
@@ -139,7 +140,7 @@
 	inherited   table.Stamp
 	isSure      bool
 
-	roll     []view.Instance
+	roll     map[string]listed
 	rollNo   uint64
 	births   map[string]lives
 	leased   map[string]bool
@@ -335,7 +336,7 @@
 				news.Doc = &doc
 			}
 			if isRoll {
-				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
+				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
 			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
 				news.Lease = m.desk.Grant(held.ask.Node, m.doc.IsPending(), m.room(wall), now)
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tansyseam.example/pooler/coordination/takeover"
@@ -20,7 +21,7 @@
 }
 
 func (m *Machine) clearSynced() {
-	m.roll, m.rollNo = nil, 0
+	m.roll, m.rollNo = map[string]listed{}, 0
 	m.births, m.leased = map[string]lives{}, map[string]bool{}
 	m.evidence = map[string]time.Duration{}
 	m.event = 1
@@ -58,35 +59,48 @@
 	return instance
 }
 
-// Roster takes the instances known to this machine; those that are synced
+type listed struct {
+	instance view.Instance
+	turned   uint64
+}
+
+// Roster takes all instances known to this machine; those that are synced
 // make the roll, which gets a new number whenever one appears or changes in
 // more than its position. It gives true for a new number.
 func (m *Machine) Roster(instances []view.Instance) bool {
-	before := map[string]view.Instance{}
-	for _, instance := range m.roll {
-		before[instance.Name] = instance
-	}
-	var roll []view.Instance
-	isNew := false
+	isMet, isNew := map[string]bool{}, false
 	for _, instance := range instances {
-		if !instance.IsSynced {
-			continue
-		}
-		instance = rollOf(instance)
-		roll = append(roll, instance)
-		isNew = isNew || before[instance.Name] != instance
+		isMet[instance.Name] = true
+		isNew = m.Enlist(instance) || isNew
+	}
+	maps.DeleteFunc(m.roll, func(name string, _ listed) bool { return !isMet[name] })
+	return isNew
+}
+
+// Enlist takes one instance into the roll, and gives true for a new number.
+func (m *Machine) Enlist(instance view.Instance) bool {
+	instance = rollOf(instance)
+	if !instance.IsSynced || m.roll[instance.Name].instance == instance {
+		return false
+	}
+	m.rollNo++
+	m.roll[instance.Name] = listed{instance: instance, turned: m.rollNo}
+	return true
+}
+
+func (m *Machine) rollSince(held Roll) []view.Instance {
+	after := uint64(0)
+	if held.Tenure == m.tenure {
+		after = held.Number
 	}
-	slices.SortFunc(roll, func(a, b view.Instance) int {
-		if a.Name < b.Name {
-			return -1
+	var list []view.Instance
+	for _, one := range m.roll {
+		if one.turned > after {
+			list = append(list, one.instance)
 		}
-		return 1
-	})
-	if isNew {
-		m.roll = roll
-		m.rollNo++
 	}
-	return isNew
+	slices.SortFunc(list, func(a, b view.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return list
 }
 
 func (m *Machine) isRollNews(ask AskNews, wall int64) bool {
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -67,6 +67,34 @@
 		d.Ask(asking, 3, d.now)
 		So(len(d.Flush(true, d.wall, d.now)), ShouldEqual, 1)
 	})
+	Convey("An ask with a roll of this tenure is told only what turned since", t, func() {
+		d := newDesk(1, table.New())
+		told := func(roll Roll) (Roll, []string) {
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp, Roll: roll}, 1, d.now)
+			news := d.Flush(true, d.wall, d.now)[0].News
+			var names []string
+			for _, one := range news.Instances {
+				names = append(names, one.Name)
+			}
+			return news.Roll, names
+		}
+		first, second := instance("a", view.RolePrimary), instance("b", view.RoleReplica)
+		d.Roster([]view.Instance{second, first})
+		early, names := told(Roll{})
+		So(names, ShouldResemble, []string{"a", "b"})
+		d.Roster([]view.Instance{first, second, instance("c", view.RoleReplica)})
+		second.IsLeaving = true
+		So(d.Enlist(second), ShouldBeTrue)
+		So(d.Enlist(second), ShouldBeFalse)
+		_, names = told(early)
+		So(names, ShouldResemble, []string{"b", "c"})
+		_, names = told(Roll{Tenure: "c9@1", Number: early.Number})
+		So(names, ShouldResemble, []string{"a", "b", "c"})
+		d.Roster([]view.Instance{first, second})
+		d.Enlist(instance("d", view.RoleReplica))
+		_, names = told(Roll{})
+		SoMsg("what the control machine has forgotten is on no later roll", names, ShouldResemble, []string{"a", "b", "d"})
+	})
 	Convey("An ask waits as long as the timing says", t, func() {
 		d := newDesk(1, table.New())
 		d.Machine = New("c1", func() lease.Timing { one := lease.DefaultTiming(); one.Wait = 500 * time.Millisecond; return one }(), d.Record(), d.held, d.now)
