Tell a node what was written since its stamp, not the whole control state

Cause: each write, also one of a node put on record, sent the whole state to all nodes and read all of it again at the control primary. Ruled out: digests over ranges beside each delta. A state that an earlier tenure published may be gone with its disks, so a delta is given only on a state that this tenure itself published; the first news of a tenure is whole. Change: Doc.After and Doc.With; an ask says that it takes deltas, so that a node of the version before still gets all; a delta that does not fit brings no lease. The stamp of the state is that of the last write that the data plane reads. A write reads again only the records that it wrote.

--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -167,7 +167,7 @@
 	m.asks++
 	return steer.AskNews{
 		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, IsCut: m.isCut, Reports: told.Reports, Highs: told.Highs,
-		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
+		Shows: current.Sequence, Number: m.asks, IsDelta: true, IsBare: m.holder.Bare(now),
 	}
 }
 
@@ -195,11 +195,17 @@
 }
 
 // Take takes news that answers an ask sent at a moment. What it forbids is
-// in force at once, and the next ask tells the primary so.
+// in force at once, and the next ask tells the primary so. A Doc written after
+// another state than the one held brings no lease, since that goes only with
+// the newest.
 func (m *Machine) Take(news steer.News, sent, now time.Duration) []Moved {
 	var moved []Moved
 	if news.Doc != nil && m.doc.Stamp.IsBefore(news.Doc.Stamp) {
-		moved = m.takeDoc(*news.Doc)
+		whole, isFit := m.doc.With(*news.Doc)
+		if !isFit {
+			return nil
+		}
+		moved = m.takeDoc(whole)
 	}
 	m.holder.OnGrant(lease.Grant{
 		Epoch: news.Record.Epoch, Primary: news.Record.Primary, Length: news.Lease, Wall: news.Wall, Held: news.Held,
--- a/pooler/coordination/serve/serve_test.go
+++ b/pooler/coordination/serve/serve_test.go
@@ -117,3 +117,24 @@
 		So(m.Judge("x", 1, at(1, 8), now), ShouldEqual, VerdictUnknown)
 	})
 }
+
+func TestNewsSince(t *testing.T) {
+	now := time.Hour
+	Convey("News written after the state held is added to it; news written after another brings neither state nor lease", t, func() {
+		m := serving(open(), now)
+		have := m.Stamp()
+		closing := open()
+		closing.Phase = view.PhaseClosing
+		news := func(since table.Stamp) steer.News {
+			doc := view.Doc{Stamp: table.Stamp{Epoch: 1, Sequence: 9}, Since: since, Writers: map[string]view.Writer{"y": {Database: "y", Term: 1}, "x": closing}}
+			return steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}, Lease: 1600 * ms, Wall: int64(now), Doc: &doc}
+		}
+		left := m.Left(now)
+		So(m.Take(news(table.Stamp{Epoch: 1, Sequence: 8}), now+100*ms, now+100*ms), ShouldBeEmpty)
+		So(m.Stamp(), ShouldResemble, have)
+		So(m.Left(now), ShouldEqual, left)
+		So(len(m.Take(news(have), now+100*ms, now+100*ms)), ShouldEqual, 2)
+		So(m.Writer("x").Phase, ShouldEqual, view.PhaseClosing)
+		So(m.Left(now), ShouldBeGreaterThan, left)
+	})
+}
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -52,6 +52,8 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
+	// IsDelta says that the asker takes a Doc of what was written after Have.
+	IsDelta bool
 	// IsBare says that the node holds no lease, nor will by an earlier grant.
 	IsBare bool
 }
@@ -70,7 +72,8 @@
 	Highs   map[string]view.Position
 }
 
-// News answers AskNews; Doc is nil where there is none newer.
+// News answers AskNews; Doc is nil where there is none newer, and only of what
+// was written since where the asker takes that and has one of this tenure.
 type News struct {
 	IsPrimary bool
 	Record    epoch.Record
@@ -138,7 +141,11 @@
 	tenure      string
 	isEnrolling map[string]bool
 	inherited   table.Stamp
-	isSure      bool
+	// from is the epoch in which this tenure began, and first the stamp of the
+	// first write that it published; a node that has that has no other past.
+	from   uint64
+	first  table.Stamp
+	isSure bool
 
 	roll     map[string]listed
 	rollNo   uint64
@@ -153,7 +160,7 @@
 
 // New makes the machine with the record and state held on disk.
 func New(self string, timing lease.Timing, record epoch.Record, held *table.Table, now time.Duration) *Machine {
-	m := &Machine{self: self, timing: timing, record: record}
+	m := &Machine{self: self, timing: timing, record: record, from: record.Epoch + 1}
 	m.Wrote(held)
 	m.clear(now)
 	return m
@@ -227,6 +234,9 @@
 func (m *Machine) Turn(record epoch.Record, held *table.Table, now time.Duration) bool {
 	isNew := record.Primary == m.self && m.record.Primary != m.self
 	m.record = record
+	if isNew {
+		m.from, m.first = record.Epoch, table.Stamp{}
+	}
 	m.Wrote(held)
 	if isNew {
 		m.clear(now)
@@ -242,8 +252,14 @@
 // Wrote takes the state that is safe to publish.
 func (m *Machine) Wrote(held *table.Table) {
 	before := m.doc
+	m.doc, _ = view.DocFrom(held, before, m.table)
 	m.table = held
-	m.doc = view.DocOf(held)
+	if m.first == (table.Stamp{}) && held.Stamp.Epoch >= m.from {
+		m.first = held.Stamp
+	}
+	if m.doc.Stamp.IsBefore(m.first) {
+		m.doc.Stamp = m.first
+	}
 	if before.IsPending() && !m.doc.IsPending() && m.desk != nil {
 		m.desk.Thaw()
 	}
@@ -332,8 +348,7 @@
 		news := News{IsPrimary: isPrimary, Record: m.record, Wall: wall, Held: now - held.came}
 		if isPrimary {
 			if isNews {
-				doc := m.doc
-				news.Doc = &doc
+				news.Doc = m.docSince(held.ask)
 			}
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
@@ -348,6 +363,14 @@
 	return replies
 }
 
+func (m *Machine) docSince(ask AskNews) *view.Doc {
+	doc := m.doc
+	if ask.IsDelta && m.first != (table.Stamp{}) && !ask.Have.IsBefore(m.first) {
+		doc = doc.After(ask.Have, m.table)
+	}
+	return &doc
+}
+
 // Heard is an instance as this machine itself heard it.
 type Heard struct {
 	Instance view.Instance
@@ -514,7 +537,7 @@
 }
 
 // SetKey is the key of a binding set.
-func SetKey(sequence uint64) string { return fmt.Sprintf("%s%012d", view.KeySet, sequence) }
+func SetKey(sequence uint64) string { return view.SetKey(sequence) }
 
 // Land gives the next write that brings a booked or pending set on its way,
 // if one is due: a booking is taken a little before its moment, and a set
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -2,6 +2,8 @@
 package view
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -223,13 +225,62 @@
 	Evidence string `json:"evidence"`
 }
 
-// Doc is the control state as the data plane reads it.
+// Doc is the control state as the data plane reads it; Stamp is of the last
+// write that changed it.
 type Doc struct {
 	Stamp   table.Stamp
 	Sets    []Set
 	Writers map[string]Writer
+	// Since, where given, says that Sets and Writers are only those written
+	// after that stamp, and First is the lowest sequence still held.
+	Since table.Stamp
+	First uint64
 }
 
+// After gives what was written after a stamp; held has the same writes.
+func (d Doc) After(since table.Stamp, held *table.Table) Doc {
+	delta := Doc{Stamp: d.Stamp, Since: since, Writers: map[string]Writer{}}
+	for at, set := range d.Sets {
+		if at == 0 {
+			delta.First = set.Sequence
+		}
+		if since.IsBefore(held.Records[SetKey(set.Sequence)].Stamp) {
+			delta.Sets = append(delta.Sets, set)
+		}
+	}
+	for name, writer := range d.Writers {
+		if since.IsBefore(held.Records[KeyDB+name].Stamp) {
+			delta.Writers[name] = writer
+		}
+	}
+	return delta
+}
+
+// With gives the whole that a doc makes with what was written after it; false
+// where that was written after another stamp.
+func (d Doc) With(delta Doc) (Doc, bool) {
+	if delta.Since == (table.Stamp{}) {
+		return delta, true
+	}
+	if delta.Since != d.Stamp {
+		return d, false
+	}
+	whole := Doc{Stamp: delta.Stamp, Writers: maps.Clone(d.Writers)}
+	for _, set := range d.Sets {
+		isAnew := slices.ContainsFunc(delta.Sets, func(one Set) bool { return one.Sequence == set.Sequence })
+		if set.Sequence >= delta.First && !isAnew {
+			whole.Sets = append(whole.Sets, set)
+		}
+	}
+	whole.Sets = append(whole.Sets, delta.Sets...)
+	slices.SortFunc(whole.Sets, func(a, b Set) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	maps.Copy(whole.Writers, delta.Writers)
+	return whole, true
+}
+
+// SetKey is the key of a binding set.
+func SetKey(sequence uint64) string { return fmt.Sprintf("%s%012d", KeySet, sequence) }
+
 // Keys of the control state.
 const (
 	KeySet   = "set/"
@@ -244,19 +295,45 @@
 
 // DocOf reads the data plane's part out of the control state.
 func DocOf(t *table.Table) Doc {
-	doc := Doc{Stamp: t.Stamp, Writers: map[string]Writer{}}
+	doc, _ := DocFrom(t, Doc{}, nil)
+	return doc
+}
+
+// DocFrom does the same, and takes over from a doc that was read before what
+// was not written since; held is the state that it was read from.
+func DocFrom(t *table.Table, before Doc, held *table.Table) (Doc, int) {
+	doc, read := Doc{Writers: map[string]Writer{}}, 0
+	isSame := func(key string) bool {
+		record := t.Records[key]
+		if doc.Stamp.IsBefore(record.Stamp) {
+			doc.Stamp = record.Stamp
+		}
+		return held != nil && held.Records[key].Stamp == record.Stamp
+	}
 	for _, key := range t.Keys(KeySet) {
+		at := slices.IndexFunc(before.Sets, func(one Set) bool { return SetKey(one.Sequence) == key })
+		if isSame(key) && at >= 0 {
+			doc.Sets = append(doc.Sets, before.Sets[at])
+			continue
+		}
+		read++
 		if set, isHeld := table.Get[Set](t, key); isHeld {
 			doc.Sets = append(doc.Sets, set)
 		}
 	}
-	slices.SortFunc(doc.Sets, func(a, b Set) int { return int(a.Sequence) - int(b.Sequence) })
+	slices.SortFunc(doc.Sets, func(a, b Set) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	for _, key := range t.Keys(KeyDB) {
+		known, isKnown := before.Writers[key[len(KeyDB):]]
+		if isSame(key) && isKnown {
+			doc.Writers[known.Database] = known
+			continue
+		}
+		read++
 		if writer, isHeld := table.Get[Writer](t, key); isHeld {
 			doc.Writers[writer.Database] = writer
 		}
 	}
-	return doc
+	return doc, read
 }
 
 // Effective gives the set in force at a moment of the primary's clock.
