Give nodes rights to connections where shares fall below two, and spares back

Cause: with 60 nodes before 51 connections an instance, the share of each node was rounded up to one and kept for good. The first 51 nodes held them all; the rest were refused at every try, and what waited there ended at its deadline. Change: coordination/rights. A share of two or more stays as it was. Below that half of a cap is kept, by the nodes that rendezvous hashing names for the instance; the other half is spare: opened when a statement waits, given back after 40 ms of rest. A refused opening rests for longer each time, as before. Any node may have two.

--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -83,9 +83,9 @@
 }
 
 func (s *Sessions) beat() {
-	count, beta := len(s.node.Nodes(view.KindData, member.IsLive)), s.node.Place().Weight
+	live, beta := s.live(), s.node.Place().Weight
 	s.do(func(now time.Duration) {
-		s.pool.Beat(count, beta, now)
+		s.pool.Beat(live, beta, now)
 		isReady, why := s.pool.Ready(now)
 		if isReady != s.wasReady {
 			s.wasReady = isReady
@@ -95,6 +95,16 @@
 	})
 }
 
+// live names the data-plane nodes that live.
+func (s *Sessions) live() []string {
+	nodes := s.node.Nodes(view.KindData, member.IsLive)
+	names := make([]string, len(nodes))
+	for at, node := range nodes {
+		names[at] = node.Name
+	}
+	return names
+}
+
 type client struct {
 	sessions *Sessions
 	conn     *wire.Conn
--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -21,11 +21,11 @@
 		return
 	}
 	conn.state, conn.leg = connIdle, nil
-	if (held.leavingAt != 0 && !m.isHead(held)) || held.info.IsGone || len(held.conns) > m.share(held) {
+	if (held.leavingAt != 0 && !m.isHead(held)) || held.info.IsGone || len(held.conns) > held.share.Most {
 		m.shut(conn, now)
 		return
 	}
-	conn.isSet = false
+	conn.isSet, conn.rested = false, now
 	held.idle = append(held.idle, conn)
 }
 
@@ -243,6 +243,7 @@
 			m.shut(conn, now)
 		}
 	}
+	m.giveBack(held, now)
 	if !m.isSpent(held, now) {
 		return
 	}
@@ -254,6 +255,19 @@
 	}
 }
 
+// giveBack closes what rests over the node's rights.
+func (m *Machine) giveBack(held *back, now time.Duration) {
+	if !held.share.IsScarce() {
+		return
+	}
+	for _, conn := range slices.Clone(held.idle) {
+		if len(held.conns) > held.share.Kept && now-conn.rested >= m.timing.Spare {
+			m.count("connections_given_back", 1)
+			m.shut(conn, now)
+		}
+	}
+}
+
 // isSpent says whether an instance has been leaving for so long that nothing
 // more is sent there.
 func (m *Machine) isSpent(held *back, now time.Duration) bool {
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -242,7 +242,7 @@
 }
 
 func (m *Machine) canGrow(held *back, now time.Duration) bool {
-	return len(held.conns) < m.share(held) && now >= held.restAt && held.info.Address != ""
+	return len(held.conns) < held.share.Most && now >= held.restAt && held.info.Address != ""
 }
 
 func (m *Machine) grow(target *back, waiting int, now time.Duration) {
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -10,6 +10,7 @@
 
 	"tansyseam.example/pooler/coordination/admit"
 	"tansyseam.example/pooler/coordination/lease"
+	"tansyseam.example/pooler/coordination/rights"
 	"tansyseam.example/pooler/coordination/serve"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/state/dense"
@@ -38,6 +39,8 @@
 	Inside time.Duration
 	// RestFirst and RestMost bound the rest after a connection was refused.
 	RestFirst, RestMost time.Duration
+	// Spare is how long a connection over the node's rights may rest.
+	Spare time.Duration
 	// Pause is how long a statement that was refused waits, for each time that
 	// it was, and Tries how often it may be put back.
 	Pause time.Duration
@@ -70,6 +73,7 @@
 	return Timing{
 		Timeout: 5 * time.Second, Away: 700 * time.Millisecond, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
+		Spare: 40 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
 		Leaving: 5 * time.Second, Late: 2 * time.Second, Lagging: 150 * time.Millisecond, Caught: 300 * time.Millisecond,
 		Linger: 2300 * time.Millisecond, Turns: 2900 * time.Millisecond, Finish: 5400 * time.Millisecond,
@@ -272,6 +276,7 @@
 	leg     *leg
 	waits   []wait
 	opened  time.Duration
+	rested  time.Duration
 	term    uint64
 }
 
@@ -283,6 +288,7 @@
 type back struct {
 	info      view.Instance
 	database  int
+	share     rights.Share
 	window    *admit.Window
 	idle      []*Conn
 	conns     []*Conn
@@ -333,7 +339,7 @@
 	guests    []*Client
 	ranks     uint64
 	roll      steer.Roll
-	peers     admit.Peers
+	sharers   rights.Names
 	leftAt    time.Duration
 	looked    time.Duration
 	isLeaving bool
@@ -345,7 +351,7 @@
 func New(place Place, timing Timing, leases lease.Timing, count func(string, int64)) *Machine {
 	m := &Machine{
 		place: place, timing: timing, tuning: admit.Defaults(), count: count, serve: serve.New(place.Name, leases),
-		names: dense.NewIndex(), backNames: dense.NewIndex(), clients: map[*Client]bool{}, peers: admit.Peers{Most: 1},
+		names: dense.NewIndex(), backNames: dense.NewIndex(), clients: map[*Client]bool{},
 	}
 	m.tuning.Beta = place.Beta
 	return m
@@ -423,10 +429,10 @@
 	return current
 }
 
-// Beat is the regular clock event; count is the number of data-plane nodes
-// that live, beta this node's weight.
-func (m *Machine) Beat(count int, beta float64, now time.Duration) {
-	m.size(count, beta, now)
+// Beat is the regular clock event; live names the data-plane nodes that live,
+// beta is this node's weight.
+func (m *Machine) Beat(live []string, beta float64, now time.Duration) {
+	m.size(live, beta, now)
 	for _, held := range m.backs {
 		held.window.Tick(now)
 		m.tend(held, now)
@@ -438,8 +444,8 @@
 	m.pumpAll(now)
 }
 
-func (m *Machine) size(count int, beta float64, now time.Duration) {
-	if isNew := m.peers.Note(count, now); isNew || beta != m.tuning.Beta {
+func (m *Machine) size(live []string, beta float64, now time.Duration) {
+	if isNew := m.sharers.Note(live, now); isNew || beta != m.tuning.Beta {
 		m.tuning.Beta = beta
 		for _, held := range m.backs {
 			m.retune(held)
@@ -447,9 +453,10 @@
 	}
 }
 
-func (m *Machine) share(held *back) int { return max(held.info.Connections/(m.peers.Most+1), 1) }
-
-func (m *Machine) retune(held *back) { held.window.Retune(m.tuning.Beta, float64(m.share(held))) }
+func (m *Machine) retune(held *back) {
+	held.share = m.sharers.Of(m.place.Name, held.info.Name, held.info.Connections)
+	held.window.Retune(m.tuning.Beta, float64(held.share.Most))
+}
 
 func (m *Machine) pumpAll(now time.Duration) {
 	m.rebind(now)
@@ -472,6 +479,7 @@
 	Sessions  int           `json:"sessions"`
 	Idle      int           `json:"idle"`
 	Share     int           `json:"share"`
+	Kept      int           `json:"kept"`
 }
 
 // Lined is what it shows of a database's lines.
@@ -491,7 +499,7 @@
 	for _, held := range m.backs {
 		instances = append(instances, Backed{
 			Info: held.info, AnsweredM: (now - held.answered).Milliseconds(), Position: held.position, Admission: held.window.Read(),
-			Refused: held.refused, Sessions: len(held.conns), Idle: len(held.idle), Share: m.share(held),
+			Refused: held.refused, Sessions: len(held.conns), Idle: len(held.idle), Share: held.share.Most, Kept: held.share.Kept,
 		})
 	}
 	for _, one := range m.bases {
--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"tansyseam.example/pooler/coordination/lease"
+	"tansyseam.example/pooler/coordination/rights"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
@@ -1195,14 +1196,14 @@
 func TestWindows(t *testing.T) {
 	Convey("The most that is out at an instance is its connections over the nodes and one", t, func() {
 		r := newRig(20)
-		r.Beat(4, 1, r.now)
+		r.Beat(nodes(4), 1, r.now)
 		So(r.back("a").window.Read().Max, ShouldEqual, 4)
-		So(r.share(r.back("a")), ShouldEqual, 4)
-		r.Beat(9, 1, r.now)
+		So(r.back("a").share, ShouldResemble, rights.Share{Kept: 4, Most: 4})
+		r.Beat(nodes(9), 1, r.now)
 		So(r.back("a").window.Read().Max, ShouldEqual, 2)
-		r.Beat(4, 1, r.now+30*time.Second)
+		r.Beat(nodes(4), 1, r.now+30*time.Second)
 		So(r.back("a").window.Read().Max, ShouldEqual, 2)
-		r.Beat(4, 1, r.now+100*time.Second)
+		r.Beat(nodes(4), 1, r.now+100*time.Second)
 		So(r.back("a").window.Read().Max, ShouldEqual, 4)
 	})
 	Convey("Over the window statements wait in line, in the order of their priority, and go as answers come", t, func() {
--- a/pooler/coordination/pool/rig_test.go
+++ b/pooler/coordination/pool/rig_test.go
@@ -35,9 +35,11 @@
 	high      uint64
 }
 
-func newRig(connections int) *rig {
+func newRig(connections int) *rig { return newRigOf("d1", connections) }
+
+func newRigOf(name string, connections int) *rig {
 	r := &rig{now: time.Hour, counts: map[string]int64{}, said: map[*Client][]string{}, over: map[*Client]bool{}, high: 100}
-	r.Machine = New(Place{Name: "d1", Zone: "za", Birth: 1, Beta: 1}, DefaultTiming(), lease.DefaultTiming(), func(name string, by int64) { r.counts[name] += by })
+	r.Machine = New(Place{Name: name, Zone: "za", Birth: 1, Beta: 1}, DefaultTiming(), lease.DefaultTiming(), func(name string, by int64) { r.counts[name] += by })
 	for at, name := range []string{"a", "b", "c", "d"} {
 		database, role := "x", view.RoleReplica
 		if name == "d" {
@@ -179,9 +181,18 @@
 
 func shown(message stream.Message) string { return shows[message.Kind](message) }
 
+// nodes names so many nodes, the rig's own among them.
+func nodes(count int) []string {
+	names := make([]string, count)
+	for at := range names {
+		names[at] = fmt.Sprintf("d%d", at+1)
+	}
+	return names
+}
+
 func (r *rig) pass(span time.Duration) {
 	r.now += span
-	r.Beat(1, 1, r.now)
+	r.Beat(nodes(1), 1, r.now)
 	r.flow()
 }
 
--- a/proof/sim/lines_front.go
+++ b/proof/sim/lines_front.go
@@ -385,13 +385,13 @@
 
 func (n *front) beat() {
 	n.do(25*time.Millisecond, n.beat)
-	count := 0
+	var live []string
 	for _, one := range n.lines.fronts {
 		if one.isUp {
-			count++
+			live = append(live, one.name)
 		}
 	}
-	n.step(func(now time.Duration) { n.pool.Beat(count, 1, now) })
+	n.step(func(now time.Duration) { n.pool.Beat(live, 1, now) })
 }
 
 // stop plays a planned stop.
