Keep leases as long as ever while a set is on its way

Cause: a node that took up a set without a moment cut its lease to 0.4 s.

Ruled out: the instances (up all the while), the statements' own limits, primacy (won 0.25 s after the processes were open).

Change: no cut. The moment lies past the last lease given, about 1.7 s after the taking; while a set has no moment no lease reaches past 2.4 s after its taking, so that with one node silent for 1.6 s the moment is still at 2.5 s, under the 3 s. The first set of a fleet, which none is in force beside, waits for no lease. A booked set is carried 1.8 s ahead instead of 1.2 s.

Price: a change shows 1.7 s after its acknowledgement instead of 0.5 s.

Tests: TestMomentsBesideLeases, TestLeaseBesideASetOnItsWay, both seen failing with the cut.

--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -11,8 +11,7 @@
 
 // Timing holds the bounds of leases.
 type Timing struct {
-	Full  time.Duration
-	Short time.Duration
+	Full time.Duration
 	// Drift is the part of a lease, in hundredths, that a node gives up for
 	// clocks that run apart.
 	Drift time.Duration
@@ -24,7 +23,7 @@
 
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
-	return Timing{Full: 1600 * time.Millisecond, Short: 400 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond}
+	return Timing{Full: 1600 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond}
 }
 
 type holding struct {
@@ -50,9 +49,8 @@
 	return d
 }
 
-// OnAsk notes what a node has taken up. IsCut says that the node has cut its
-// lease short on taking up a pending set.
-func (d *Desk) OnAsk(node string, acked table.Stamp, isCut bool, now time.Duration) {
+// OnAsk notes what a node has taken up.
+func (d *Desk) OnAsk(node string, acked table.Stamp, now time.Duration) {
 	held, isMet := d.nodes[node]
 	if !isMet {
 		held.until = now
@@ -60,9 +58,6 @@
 	if held.acked.IsBefore(acked) {
 		held.acked = acked
 	}
-	if isCut {
-		held.until = min(held.until, now+d.timing.Short)
-	}
 	d.nodes[node] = held
 }
 
@@ -75,15 +70,10 @@
 }
 
 // Grant gives the lease that goes with an answer, counted by the node from
-// when it sent the ask. While a set is pending, leases are short, so that a
-// common moment can be set soon.
-func (d *Desk) Grant(node string, isPending bool, most, now time.Duration) time.Duration {
+// when it sent the ask.
+func (d *Desk) Grant(node string, most, now time.Duration) time.Duration {
 	held := d.nodes[node]
-	length := d.timing.Full
-	if isPending {
-		length = d.timing.Short
-	}
-	length = min(length, most)
+	length := min(d.timing.Full, most)
 	if d.frozen != 0 {
 		length = max(min(length, d.frozen-now), 0)
 	}
@@ -207,13 +197,6 @@
 	return true
 }
 
-// Cut makes the lease short, as a node does when it takes up a pending set.
-// Grants for asks sent before are nothing from then on.
-func (h *Holder) Cut(now time.Duration) {
-	h.until = min(h.until, now+h.timing.Short-h.timing.Short*h.timing.Drift/100)
-	h.cutAt = now
-}
-
 // Bare says whether no lease is held now; grants for asks sent before are then
 // nothing from now on, so that the node may say so.
 func (h *Holder) Bare(now time.Duration) bool {
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -51,7 +51,6 @@
 	holder  *lease.Holder
 	doc     view.Doc
 	shown   uint64
-	isCut   bool
 	asks    uint64
 	sights  map[string]*Sight
 	samples map[string][]sample
@@ -166,7 +165,7 @@
 	told := m.Told(now, lags)
 	m.asks++
 	return steer.AskNews{
-		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, IsCut: m.isCut, Reports: told.Reports, Highs: told.Highs,
+		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, Reports: told.Reports, Highs: told.Highs,
 		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
 	}
 }
@@ -205,10 +204,6 @@
 		Epoch: news.Record.Epoch, Primary: news.Record.Primary, Length: news.Lease, Wall: news.Wall, Held: news.Held,
 	}, sent, now)
 	m.reckon(now)
-	m.isCut = m.doc.IsPending()
-	if m.isCut {
-		m.holder.Cut(now)
-	}
 	m.Effective(now)
 	return moved
 }
--- a/pooler/coordination/serve/serve_test.go
+++ b/pooler/coordination/serve/serve_test.go
@@ -117,3 +117,15 @@
 		So(m.Judge("x", 1, at(1, 8), now), ShouldEqual, VerdictUnknown)
 	})
 }
+
+func TestLeaseBesideASetOnItsWay(t *testing.T) {
+	now := time.Hour
+	Convey("A set that is taken up while it has no moment leaves the lease as long as it was", t, func() {
+		m := serving(open(), now)
+		doc := view.Doc{Stamp: table.Stamp{Epoch: 1, Sequence: 2}, Sets: []view.Set{{Sequence: 1}}, Writers: m.Doc().Writers}
+		before := m.Left(now + 10*ms)
+		m.Take(steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}, Wall: int64(now), Doc: &doc}, now, now+10*ms)
+		So(m.Doc().IsPending(), ShouldBeTrue)
+		So(m.Left(now+10*ms), ShouldEqual, before)
+	})
+}
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -39,7 +39,6 @@
 	Node    string
 	Kind    string
 	Have    table.Stamp
-	IsCut   bool
 	Reports []Report
 	Highs   map[string]view.Position
 	// Shows is the sequence of the set in force at the node.
@@ -269,7 +268,7 @@
 	if ask.Kind == view.KindData {
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
-		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut && !isLate, now)
+		m.desk.OnAsk(ask.Node, ask.Have, now)
 		if ask.IsBare && !isLate && ask.Birth != 0 {
 			m.desk.OnBare(ask.Node, now)
 		}
@@ -299,6 +298,10 @@
 // be leased to serve under the one before. After that they hold.
 const Patience = 2700 * time.Millisecond
 
+// Reach is how far past its taking leases may go while a set has no moment: a
+// node that is silent has lapsed by then, and the moment comes after the others'.
+const Reach = 2400 * time.Millisecond
+
 func (m *Machine) room(wall int64) time.Duration {
 	if len(m.catchUp(wall)) > 0 {
 		return 0
@@ -311,6 +314,9 @@
 		if set.Moment == 0 || set.Moment > wall {
 			room = min(room, max(time.Duration(max(set.Taken, set.Due)-wall)+Patience, 0))
 		}
+		if set.Moment == 0 {
+			room = min(room, max(time.Duration(set.Taken-wall)+Reach, 0))
+		}
 	}
 	return room
 }
@@ -323,7 +329,7 @@
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait(wall)
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -338,7 +344,7 @@
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
 			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
-				news.Lease = m.desk.Grant(held.ask.Node, m.doc.IsPending(), m.room(wall), now)
+				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
 		replies = append(replies, Reply{held.token, news})
@@ -548,6 +554,9 @@
 	}
 	earliest := m.desk.Latest(now) + m.timing.Margin
 	m.desk.Freeze(earliest)
+	if isFirst := m.doc.Sets[0].Moment == 0; isFirst {
+		earliest = now + m.timing.Margin
+	}
 	m.isLand = true
 	moment := wall + int64(earliest-now)
 	seen, by := m.doc.Stamp, m.tenure
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -27,15 +27,10 @@
 	m.covered, m.marks, m.phases = map[string]uint64{}, map[string]view.Position{}, map[string]phaseAt{}
 }
 
-// wait is how long an ask waits for news: less while a set is on its way, since
-// leases are short then.
-func (m *Machine) wait(wall int64) time.Duration {
+func (m *Machine) wait() time.Duration {
 	if m.timing.Wait == 0 {
 		return Wait
 	}
-	if m.doc.IsPending() || m.doc.Newest().Moment > wall {
-		return min(m.timing.Wait, m.timing.Short*2/5)
-	}
 	return m.timing.Wait
 }
 
--- a/pooler/coordination/timeline/timeline.go
+++ b/pooler/coordination/timeline/timeline.go
@@ -10,7 +10,7 @@
 )
 
 // Lead is how long before its moment a booked set is carried to the nodes.
-const Lead = 1200 * time.Millisecond
+const Lead = 1800 * time.Millisecond
 
 // Next gives the booking to be taken now, if one is near enough. A booking
 // whose moment has passed is taken at once; order is by moment, then by the
