Cut the links between control machines too when a region is cut in the scale run

Until now a cut barred hollow nodes alone, and the side of the control primary went on by construction: the control machines still spoke to each other, so no epoch ever turned and no backup was ever missed.

Change: real processes tell others the address of a relay beside them, and a cut bars all that passes between regions there, both ways. The side with most of the control machines goes on, whoever is primary; changes go to its machines only. After the cut the run waits for a backup before it ends the control primary, since one without a backup leaves nobody who may take over. The newest epoch that any machine tells names the primary, since one that was cut off may tell an old one.

Test: the machine that is cut off must refuse a call for the fleet's state.

--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -143,6 +143,7 @@
 		from.Beat = beat
 	}
 	if from.Link != "" && (from.Beat >= known.Beat || from.Birth > known.Birth) {
+		from.Link = known.Link
 		h.reals[from.Name], h.realsAt[from.Name] = from, time.Now()
 	}
 	replies := h.feed(gossip)
--- a/proof/scale/real.go
+++ b/proof/scale/real.go
@@ -32,7 +32,7 @@
 func processes(bin, folder string) begin {
 	return func(place settings.Settings, kind string) (*real, error) {
 		args := []string{
-			"--name", place.Name, "--zone", place.Zone, "--link", place.Link, "--door", place.Door,
+			"--name", place.Name, "--zone", place.Zone, "--link", place.Link, "--door", place.Door, "--advertise-link", place.AdvertiseLink,
 			"--seeds", strings.Join(place.Seeds, ","), "--log-level", "warn",
 		}
 		if kind == view.KindControl {
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -28,7 +28,8 @@
 		}
 		SoMsg("writes of a change, each sent to each node", counts[EventChange], ShouldBeBetweenOrEqual, 2, 8)
 		SoMsg("promote calls", counts[EventPrimary], ShouldEqual, 1)
-		SoMsg("nodes that hold: those without the control primary on their side", counts[EventHeld], ShouldEqual, 6)
+		SoMsg("control machines cut off, which refuse", counts[EventRefused], ShouldEqual, 1)
+		SoMsg("nodes that hold: those without most control machines on their side", counts[EventHeld], ShouldEqual, 6)
 		SoMsg("nodes that go on", counts[EventElsewhere], ShouldEqual, 6)
 		SoMsg("nodes that catch up", counts[EventHealed], ShouldEqual, 6)
 		for _, name := range []string{EventRestart, EventLoss, EventStep} {
--- a/proof/scale/trial.go
+++ b/proof/scale/trial.go
@@ -23,6 +23,7 @@
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
+	"tansyseam.example/proof/stand"
 )
 
 // Size is one whole fleet that is tried.
@@ -121,6 +122,8 @@
 	world    *world
 	herd     *herd
 	places   map[string]settings.Settings
+	relays   map[string]*stand.Relay
+	cutOff   string
 	mutex    sync.Mutex
 	controls []*real
 	probe    *real
@@ -143,6 +146,7 @@
 	groupProbe   = 254
 	linkPort     = 17001
 	doorPort     = 17002
+	relayPort    = 17003
 	mostBindings = 1000
 )
 
@@ -157,7 +161,7 @@
 
 func play(size Size, how begin, folder string, hasProbe bool) Result {
 	net24.Add(1)
-	t := &Trial{size: size, begin: how, folder: folder, crew: run.NewCrew(), places: map[string]settings.Settings{}, result: Result{Size: size}}
+	t := &Trial{size: size, begin: how, folder: folder, crew: run.NewCrew(), places: map[string]settings.Settings{}, relays: map[string]*stand.Relay{}, result: Result{Size: size}}
 	defer t.end()
 	t.fault(t.start(hasProbe))
 	if t.result.Fault == "" {
@@ -213,6 +217,9 @@
 		}
 		ends.Stop(20 * time.Second)
 	}
+	for _, relay := range t.relays {
+		relay.Close()
+	}
 	if t.world != nil {
 		t.world.close()
 	}
@@ -250,8 +257,7 @@
 	if hasProbe {
 		hollows--
 	}
-	seeds := []string{address(groupControl, 0, linkPort), address(groupControl, 1, linkPort), address(0, 0, linkPort)}
-	t.herd = newHerd(t.world, seeds, t.size.Known)
+	t.herd = newHerd(t.world, seedsAt(linkPort), t.size.Known)
 	byZone := map[string][]string{}
 	for number := range hollows {
 		byZone[zoneOf(number)] = append(byZone[zoneOf(number)], hollowName(number))
@@ -268,17 +274,25 @@
 		t.herd.nodes = append(t.herd.nodes, node)
 	}
 	reals := map[string]string{}
+	meet := func(place settings.Settings, kind string) error {
+		t.places[place.Name], reals[place.Name] = place, place.Link
+		t.herd.reals[place.Name] = view.Node{Name: place.Name, Kind: kind, Zone: place.Zone, Link: place.Link, Door: place.Door}
+		relay, err := stand.OpenRelay(place.AdvertiseLink, place.Link)
+		t.relays[place.Name] = relay
+		return err
+	}
 	for number := range t.size.Disks {
 		name := fmt.Sprintf("seamc%d", number+1)
 		place := t.place(name, []string{"zone1", "zone4", "zone2", "zone5", "zone3"}[number%5], groupControl, number)
 		place.Data, place.Disks, place.Platform = filepath.Join(t.folder, name), t.size.Disks, t.platform
-		t.places[name], reals[name] = place, place.Link
-		t.herd.reals[name] = view.Node{Name: name, Kind: view.KindControl, Zone: place.Zone, Link: place.Link, Door: place.Door}
+		if err := meet(place, view.KindControl); err != nil {
+			return err
+		}
 	}
 	if hasProbe {
-		place := t.place(probeName, zoneOf(0), groupProbe, 0)
-		t.places[probeName], reals[probeName] = place, place.Link
-		t.herd.reals[probeName] = view.Node{Name: probeName, Kind: view.KindData, Zone: place.Zone, Link: place.Link, Door: place.Door}
+		if err := meet(t.place(probeName, zoneOf(0), groupProbe, 0), view.KindData); err != nil {
+			return err
+		}
 	}
 	t.herd.plan(reals)
 	t.herd.beat()
@@ -313,13 +327,21 @@
 
 func hollowName(number int) string { return fmt.Sprintf("seamd-%04d", number) }
 
+// place says where a real process is. Others are told of the address of a
+// relay, by which regions are cut; hollow nodes, which cut themselves off, go
+// to the process itself.
 func (t *Trial) place(name, zone string, group, number int) settings.Settings {
 	link, door := address(group, number, linkPort), address(group, number, doorPort)
 	return settings.Settings{
-		Name: name, Zone: zone, Link: link, Door: door, AdvertiseLink: link, AdvertiseDoor: door, Seeds: t.herd.seeds, Weight: 1, LogLevel: "warn",
+		Name: name, Zone: zone, Link: link, Door: door, AdvertiseLink: address(group, number, relayPort), AdvertiseDoor: door,
+		Seeds: seedsAt(relayPort), Weight: 1, LogLevel: "warn",
 	}
 }
 
+func seedsAt(port int) []string {
+	return []string{address(groupControl, 0, port), address(groupControl, 1, port), address(0, 0, linkPort)}
+}
+
 func (t *Trial) homes(byZone map[string][]string) map[string]map[string]bool {
 	homes := map[string]map[string]bool{}
 	if t.size.Homes == 0 {
@@ -418,6 +440,9 @@
 
 func (t *Trial) putOnce(body map[string]any) (uint64, string) {
 	for _, one := range t.controls {
+		if t.isCutOff(one) {
+			continue
+		}
 		status, raw, err := post(one.door, "/v1/bindings/put", body)
 		if err != nil {
 			continue
@@ -490,27 +515,25 @@
 	return taken
 }
 
-func (t *Trial) primary() string {
+// record gives the newest epoch that a control machine knows of.
+func (t *Trial) record() vitals {
+	var newest vitals
 	for _, one := range t.controls {
-		if told, isGood := one.vitals(); isGood && told.Primary != "" {
-			return told.Primary
+		if told, isGood := one.vitals(); isGood && told.Primary != "" && told.Epoch >= newest.Epoch {
+			newest = told
 		}
 	}
-	return ""
+	return newest
 }
 
+func (t *Trial) primary() string { return t.record().Primary }
+
 func (t *Trial) roleOf(name string) string {
-	for _, one := range t.controls {
-		told, isGood := one.vitals()
-		if !isGood {
-			continue
-		}
-		for named, role := range map[string]string{told.Primary: RolePrimary, told.Backup: RoleBackup} {
-			if named == name {
-				return role
-			}
+	told := t.record()
+	for named, role := range map[string]string{told.Primary: RolePrimary, told.Backup: RoleBackup} {
+		if named == name {
+			return role
 		}
-		break
 	}
 	if name == probeName {
 		return RoleNode
@@ -573,6 +596,7 @@
 	EventRestart   = "restarted node back"
 	EventHeld      = "region cut: nodes of the other side hold"
 	EventElsewhere = "region cut: change in force on this side"
+	EventRefused   = "region cut: calls at control machines of the other side refused"
 	EventHealed    = "region cut: healed, change in force on the other side"
 	EventLoss      = "control primary lost: leased by the next"
 	EventStep      = "control primary lost: next backup in step"
@@ -652,12 +676,42 @@
 
 func (t *Trial) region(name string) string { return regionOf(t.places[name].Zone) }
 
+func (t *Trial) isCutOff(one *real) bool { return t.cutOff != "" && t.region(one.name) == t.cutOff }
+
+// lesser gives the region that fewer of the control machines are in: cut off
+// from the other it has no majority.
+func (t *Trial) lesser() string {
+	counts := map[string]int{}
+	for _, one := range t.controls {
+		counts[t.region(one.name)]++
+	}
+	if counts["east"] < counts["west"] {
+		return "east"
+	}
+	return "west"
+}
+
+// sever cuts all links between real processes of two regions, or joins them.
+func (t *Trial) sever(isCut bool) {
+	for name, relay := range t.relays {
+		for other, place := range t.places {
+			if host, _, err := net.SplitHostPort(place.Link); err == nil && t.region(name) != t.region(other) {
+				relay.Cut(host, isCut, isCut)
+			}
+		}
+	}
+}
+
 func (t *Trial) cut() error {
-	home := t.region(t.primary())
-	isFar := func(node *hollow) bool { return regionOf(node.self.Zone) != home }
+	t.cutOff = t.lesser()
+	defer func() { t.cutOff = "" }()
+	before := t.record()
+	isFar := func(node *hollow) bool { return regionOf(node.self.Zone) == t.cutOff }
 	isNear := func(node *hollow) bool { return !isFar(node) }
 	far, near := t.herd.count(isFar), t.herd.count(isNear)
 	since := time.Now()
+	t.sever(true)
+	defer t.sever(false)
 	t.herd.each(func(node *hollow) { node.isCut = isFar(node) })
 	isHolding := func(node *hollow) bool { return isFar(node) && !t.leased(node) }
 	held, err := t.until(t.size.Patience, EventHeld, func() bool { return t.herd.count(isHolding) == far })
@@ -676,8 +730,12 @@
 		return err
 	}
 	shown := func(node *hollow) time.Time { return node.shownAt[t.sequence] }
-	t.event(EventElsewhere, int64(near), "", shown, changed, isNear)
+	after := t.record()
+	t.event(EventElsewhere, int64(near), fmt.Sprintf("epoch %d of %s with %s, then %d of %s with %s", before.Epoch, before.Primary, before.Backup, after.Epoch, after.Primary, after.Backup), shown, changed, isNear)
+	refused := t.refused()
+	t.result.Events = append(t.result.Events, Event{Name: EventRefused, Count: int64(refused), Note: fmt.Sprintf("at %d", refused)})
 	healed := time.Now()
+	t.sever(false)
 	t.herd.each(func(node *hollow) { node.isCut = false })
 	if _, err := t.until(t.size.Patience, EventHealed, func() bool { return t.herd.count(isShown) == far+near }); err != nil {
 		return err
@@ -686,7 +744,25 @@
 	return nil
 }
 
+// refused counts the control machines that are cut off and cannot answer for
+// the fleet.
+func (t *Trial) refused() int {
+	count := 0
+	for _, one := range t.controls {
+		if !t.isCutOff(one) {
+			continue
+		}
+		if status, _, err := post(one.door, "/v1/changes/list", map[string]any{}); err != nil || status != http.StatusOK {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Trial) loss() error {
+	if _, err := t.until(t.size.Patience, "a backup in step before the loss", func() bool { return t.record().Backup != "" }); err != nil {
+		return err
+	}
 	lost := t.primary()
 	at := slices.IndexFunc(t.controls, func(one *real) bool { return one.name == lost })
 	if at < 0 {
@@ -729,8 +805,8 @@
 	}
 	t.set(func() { t.controls = append(t.controls, made) })
 	if _, err := t.until(t.size.Patience, EventStep, func() bool {
-		told, isGood := t.controls[0].vitals()
-		return isGood && told.Backup != "" && told.Primary != lost
+		told := t.record()
+		return told.Backup != "" && told.Primary != lost
 	}); err != nil {
 		return err
 	}
