Hold the windows of synced instances' nodes to the paper in the simulator

Cause: only the windows of coordination/hall were reckoned a second time from the history. Those of coordination/pool, which scores through transactions, sizes and refusals, were held to nothing.

Change: proof/sim/lines_mirror.go reckons each window and CAL from what goes over each simulated connection and when its answer comes, by the node's own clock, with the two equations of mirror.go; a statement sent past the window is a fault too. The rule is 'window'. w_max is taken as the node shows it.

Tests: TestLineWindowsFollowThePaper, at rest and at load, with an instance that is slow, one that loses answers and one that lags. Two planted defects are found (answers taken 2 ms late; another's weight).

--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -38,6 +38,10 @@
 	IsHasty bool
 	// IsDeaf: a node that starts again asks for no news.
 	IsDeaf bool
+	// IsLate: answers are told to a node's machine as if they came later.
+	IsLate bool
+	// IsPressing: a node is told of a weight that is not its own.
+	IsPressing bool
 }
 
 // LineShape is the size of a simulated fleet of synced instances.
@@ -51,6 +55,9 @@
 	// longest that one lasts.
 	Only    []string
 	Longest time.Duration
+	// Loose is the target of the bindings that may be stale; the others have
+	// 200 ms, as they where it is not given.
+	Loose time.Duration
 	// Script, where given, is played in place of random troubles.
 	Script func(*lines)
 }
@@ -79,6 +86,7 @@
 	RuleConfig  = "CONFIG"
 	RuleRecover = "RECOVER"
 	RuleWire    = "wire"
+	RuleWindow  = "window"
 )
 
 const (
@@ -130,6 +138,10 @@
 	swapped  string
 	made     int
 	replaced map[string]bool
+
+	isMirrored      bool
+	moves, blind    int
+	widest, slowest float64
 }
 
 // ledger is what clients were told kept of one database, in order.
@@ -214,7 +226,7 @@
 	set := view.Set{Version: version, Limits: view.Limits{Inside: 3 * time.Second}}
 	add := func(name, database string, freshness time.Duration, isOwn bool) {
 		set.Bindings = append(set.Bindings, view.Binding{
-			Name: name, Database: database, Freshness: freshness, IsOwn: isOwn, Timeout: 1500 * time.Millisecond, Target: 200 * time.Millisecond, Priority: 1,
+			Name: name, Database: database, Freshness: freshness, IsOwn: isOwn, Timeout: 1500 * time.Millisecond, Target: l.targetOf(name), Priority: 1,
 		})
 	}
 	for _, database := range l.databases {
--- a/proof/sim/lines_front.go
+++ b/proof/sim/lines_front.go
@@ -32,6 +32,7 @@
 	missed    int
 	isTelling bool
 	counts    map[string]int64
+	mirrors   map[string]*mirror
 }
 
 func (n *front) start() {
@@ -41,7 +42,7 @@
 	n.isUp, n.isFrozen, n.backlog, n.isGone, n.isTelling = true, false, nil, false, false
 	n.births++
 	n.born = n.world.now
-	n.counts = map[string]int64{}
+	n.counts, n.mirrors = map[string]int64{}, map[string]*mirror{}
 	place := pool.Place{Name: n.name, Zone: n.zone, Birth: n.births, Beta: 1}
 	n.pool = pool.New(place, pool.DefaultTiming(), lease.DefaultTiming(), func(name string, by int64) { n.counts[name] += by })
 	n.links, n.people, n.owed = nil, map[*pool.Client]*person{}, map[*pool.Client]int{}
@@ -102,6 +103,9 @@
 	at((*front).send)
 	at(func(n *front, shut pool.Shut) {
 		link, isOpen := shut.Conn.Link.(*lineLink)
+		if isOpen {
+			n.mirrorShut(link)
+		}
 		if !isOpen || link.isOver {
 			return
 		}
@@ -170,6 +174,7 @@
 func (n *front) send(send pool.Send) {
 	link := send.Conn.Link.(*lineLink)
 	outs := slices.Clone(send.Outs)
+	n.mirrorSend(link, outs)
 	defect := n.lines.defect
 	for at, out := range outs {
 		if one := n.lines.asks[out.ID]; one != nil && one.version == 0 {
@@ -205,6 +210,10 @@
 	session    *session
 	to, from   time.Duration
 	isOver     bool
+
+	owed  []owedAnswer
+	place placed
+	end   words.Message
 }
 
 func (k *lineLink) trip() time.Duration {
@@ -245,7 +254,11 @@
 func (k *lineLink) toNode(messages []words.Message) {
 	k.toFront(func() {
 		k.front.step(func(now time.Duration) {
+			if k.front.lines.defect.IsLate {
+				now += 2 * time.Millisecond
+			}
 			for _, message := range messages {
+				k.front.mirrorCame(k, message)
 				k.front.pool.Came(k.conn, message, now)
 			}
 		})
@@ -391,7 +404,14 @@
 			count++
 		}
 	}
-	n.step(func(now time.Duration) { n.pool.Beat(count, 1, now) })
+	weight := 1.0
+	if n.lines.defect.IsPressing {
+		weight = 2
+	}
+	n.step(func(now time.Duration) {
+		n.pool.Beat(count, weight, now)
+		n.mirrorBeat(now)
+	})
 }
 
 // stop plays a planned stop.
--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -122,6 +122,51 @@
 	})
 }
 
+// mirrored plays fleets at work in which one instance is slow for a while, one
+// loses answers and one lags, and holds each window to the paper.
+func mirrored(defect LinePlant, isBusy bool) (result LineResult, moves, blind int, widest, slowest float64) {
+	size := shortLines()
+	size.Span, size.Tail, size.Connections, size.Loose = 18*time.Second, 13*time.Second, 48, 800*time.Millisecond
+	var fleet *lines
+	size.Script = func(l *lines) {
+		fleet = l
+		l.isMirrored = true
+		for _, one := range l.people {
+			if isBusy {
+				one.rate = 4 * time.Millisecond
+			}
+		}
+		for _, one := range l.fronts {
+			one.crash()
+			one.start()
+		}
+		slow, losing, lagging := l.hosts["db1-a:1"], l.hosts["db2-b:1"], l.hosts["db2-c:1"]
+		l.world.after(9*time.Second, func() { slow.service, losing.lose, lagging.delay = 70*time.Millisecond, 4, 1500*time.Millisecond })
+		l.world.after(14*time.Second, func() { slow.service, lagging.delay = 5*time.Millisecond, 2*time.Millisecond })
+	}
+	result = RunLines(5, size, defect, nil)
+	return result, fleet.moves, fleet.blind, fleet.widest, fleet.slowest
+}
+
+func TestLineWindowsFollowThePaper(t *testing.T) {
+	Convey("On a whole fleet of synced instances, every window and CAL of each node is what the paper's equations give for the latencies that its connections saw, and no more is out than that", t, func() {
+		for _, isBusy := range []bool{false, true} {
+			result, moves, blind, widest, slowest := mirrored(LinePlant{}, isBusy)
+			So(result.Faults, ShouldBeEmpty)
+			So(moves, ShouldBeGreaterThan, 20)
+			So(blind, ShouldBeLessThan, 5)
+			So(widest, ShouldBeGreaterThan, 2.5)
+			So(slowest, ShouldBeGreaterThan, float64(30*time.Millisecond))
+		}
+	})
+	Convey("A node that takes answers for later than they are, or grows by another's weight, is found", t, func() {
+		for _, defect := range []LinePlant{{IsLate: true}, {IsPressing: true}} {
+			result, _, _, _, _ := mirrored(defect, true)
+			So(len(result.Faults[RuleWindow]), ShouldBeGreaterThan, 10)
+		}
+	})
+}
+
 func TestLinesPlantedDefects(t *testing.T) {
 	onlyWithoutRace(t)
 	with := func(longest time.Duration, only ...string) LineShape {
--- a/proof/sim/mirror.go
+++ b/proof/sim/mirror.go
@@ -12,6 +12,7 @@
 	sum                float64
 	count, open        int
 	moves              int
+	isBlind            bool
 }
 
 func newMirror(beta, most float64) *mirror {
@@ -25,6 +26,10 @@
 
 func (x *mirror) done(latency time.Duration) {
 	x.open--
+	x.saw(latency)
+}
+
+func (x *mirror) saw(latency time.Duration) {
 	x.sum += float64(latency)
 	x.count++
 }
