Take the bounds of stops, of leaving instances and of sets from the settings

Cause: the spans within which a set is in force, a stop ends and an instance that leaves is left were constants (3 s, 6 s, 7 s) that equal the bounds of the known deployments. One with shorter bounds would have broken CONFIG, LOST or DRAIN. Ruled out: deriving them on the platform's side: it decides nothing.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -116,6 +116,7 @@
 
 func leases(place settings.Settings) lease.Timing {
 	timing := lease.DefaultTiming()
+	timing.InForce = place.InForce
 	if place.Manner == settings.MannerPlatform {
 		timing.Wait = quietWait
 	}
--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -44,7 +44,7 @@
 // One control machine alone is its own majority: it is stepped here by hand,
 // with no loop and no link.
 func newBench(t *testing.T, folder string) *bench {
-	place := settings.Settings{Name: "c1", Zone: "z", Link: "127.0.0.1:1", Door: "127.0.0.1:2", AdvertiseDoor: "127.0.0.1:2", Disks: 1, Data: folder, Manner: "platform"}
+	place := settings.Settings{Name: "c1", Zone: "z", Link: "127.0.0.1:1", Door: "127.0.0.1:2", AdvertiseDoor: "127.0.0.1:2", Disks: 1, Data: folder, Manner: "platform", InForce: 3 * time.Second}
 	node, err := fleet.New("seamc", place, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
--- a/pooler/cmd/control/disk_test.go
+++ b/pooler/cmd/control/disk_test.go
@@ -32,7 +32,7 @@
 }
 
 func newTroubled(t *testing.T) (*Control, *troubled) {
-	place := settings.Settings{Name: "c1", Zone: "z", Link: "127.0.0.1:1", Door: "127.0.0.1:2", AdvertiseDoor: "127.0.0.1:2", Disks: 1, Data: t.TempDir(), Manner: "platform"}
+	place := settings.Settings{Name: "c1", Zone: "z", Link: "127.0.0.1:1", Door: "127.0.0.1:2", AdvertiseDoor: "127.0.0.1:2", Disks: 1, Data: t.TempDir(), Manner: "platform", InForce: 3 * time.Second}
 	node, err := fleet.New("seamc", place, hclog.NewNullLogger())
 	So(err, ShouldBeNil)
 	disk := &troubled{Folder: synced.Folder(place.Data)}
--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -31,6 +31,8 @@
 	codec  stream.Codec
 	engine *wire.Engine
 	who    string
+	// lingerLeast and drainMost bound a stop.
+	lingerLeast, drainMost time.Duration
 
 	mutex     sync.Mutex
 	pool      *pool.Machine
@@ -44,9 +46,11 @@
 func Open(node *fleet.Node, codec stream.Codec) (*Sessions, error) {
 	place := node.Place()
 	self := pool.Place{Name: place.Name, Zone: place.Zone, Birth: node.Self().Birth, Beta: place.Weight}
+	timing := pool.DefaultTiming().Within(place.Grace, place.Drain)
 	s := &Sessions{
+		lingerLeast: timing.Linger + 200*time.Millisecond, drainMost: timing.Finish + 200*time.Millisecond,
 		node: node, log: node.Log, codec: codec, who: place.Name,
-		pool: pool.New(self, pool.DefaultTiming(), lease.DefaultTiming(), node.Counts.Add),
+		pool: pool.New(self, timing, lease.DefaultTiming(), node.Counts.Add),
 	}
 	s.engine = wire.New(node.Crew, place.Sessions, stream.Longest, s.greet)
 	node.OnPassNews(800 * time.Millisecond)
@@ -284,9 +288,9 @@
 	isOver := func() bool {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		return s.pool.IsDrained() && s.now()-began > lingerLeast
+		return s.pool.IsDrained() && s.now()-began > s.lingerLeast
 	}
-	for s.now()-began < drainMost && !isOver() {
+	for s.now()-began < s.drainMost && !isOver() {
 		run.Await(make(chan struct{}), 20*time.Millisecond)
 	}
 	s.mutex.Lock()
@@ -296,11 +300,6 @@
 	s.engine.Stop()
 }
 
-const (
-	lingerLeast = 2500 * time.Millisecond
-	drainMost   = 5600 * time.Millisecond
-)
-
 func (s *Sessions) report() {
 	if s.isTelling {
 		return
--- a/pooler/cmd/settings/settings.go
+++ b/pooler/cmd/settings/settings.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
@@ -70,6 +71,10 @@
 	// SeedPort is the port of the seeds' links, where seeds names other doors
 	// of theirs.
 	SeedPort int
+	// InForce is within how long of its taking a set is in force everywhere,
+	// Grace how long a stop is waited for, Drain how long an instance serves on
+	// after it was heard to leave.
+	InForce, Grace, Drain time.Duration
 
 	File    string
 	IsCheck bool
@@ -111,6 +116,21 @@
 	}
 }
 
+func spanField(name, kinds, help string, unit time.Duration, at func(*Settings) *time.Duration) field {
+	return field{
+		name: name, kinds: strings.Split(kinds, " "), help: help,
+		put: func(s *Settings, value string) string {
+			number, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return "not a number"
+			}
+			*at(s) = time.Duration(number * float64(unit))
+			return ""
+		},
+		get: func(s Settings) string { return strconv.FormatFloat(float64(*at(&s))/float64(unit), 'g', -1, 64) },
+	}
+}
+
 func boolField(name, kinds, help string, at func(*Settings) *bool) field {
 	return field{
 		name: name, kinds: strings.Split(kinds, " "), help: help,
@@ -153,6 +173,9 @@
 	textField("manner", both, "way of speaking with the world outside; empty for the product's own", false, func(s *Settings) *string { return &s.Manner }),
 	textField("sessions", "seamd", "IP:port on which clients' line sessions are taken", false, func(s *Settings) *string { return &s.Sessions }),
 	numberField("seed_port", both, "port of the seeds' links, where seeds names other doors of theirs", func(s *Settings) *int { return &s.SeedPort }),
+	spanField("in_force_ms", "seamc", "within how long of its taking a set is in force everywhere", time.Millisecond, func(s *Settings) *time.Duration { return &s.InForce }),
+	spanField("grace_s", "seamd", "how long a stop is waited for before the process is killed", time.Second, func(s *Settings) *time.Duration { return &s.Grace }),
+	spanField("drain_ms", "seamd", "how long an instance serves on after it was heard to leave", time.Millisecond, func(s *Settings) *time.Duration { return &s.Drain }),
 	textField("platform", "seamc", "IP:port of the platform's promote call", true, func(s *Settings) *string { return &s.Platform }),
 	{
 		name: "weight", kinds: []string{"seamd"}, help: "weight of this node; beta of its windows follows it", isLive: true,
@@ -174,7 +197,9 @@
 	return slices.DeleteFunc(slices.Clone(fields), func(f field) bool { return !slices.Contains(f.kinds, program) })
 }
 
-func defaults() Settings { return Settings{Weight: 1, LogLevel: "info"} }
+func defaults() Settings {
+	return Settings{Weight: 1, LogLevel: "info", InForce: 3 * time.Second, Grace: 6 * time.Second, Drain: 7 * time.Second}
+}
 
 // Parse reads the arguments of a program, then the file that they name.
 // Flags win over the file.
@@ -345,6 +370,9 @@
 	}},
 	{"seamc", "platform", "must be IP:port", func(s Settings) bool { return !IsAddress(s.Platform) }},
 	{"seamd", "weight", "must be from 0.1 to 100", func(s Settings) bool { return !(s.Weight >= 0.1 && s.Weight <= 100) }},
+	{"seamc", "in_force_ms", "must be from 2500, since leases of 1.6 s end before, to 60000", func(s Settings) bool { return s.InForce < 2500*time.Millisecond || s.InForce > time.Minute }},
+	{"seamd", "grace_s", "must be from 2 to 600", func(s Settings) bool { return s.Grace < 2*time.Second || s.Grace > 10*time.Minute }},
+	{"seamd", "drain_ms", "must be from 1000 to 600000", func(s Settings) bool { return s.Drain < time.Second || s.Drain > 10*time.Minute }},
 	{both, "log_level", "must be trace, debug, info, warn or error", func(s Settings) bool { return hclog.LevelFromString(s.LogLevel) == hclog.NoLevel }},
 }
 
--- a/pooler/cmd/settings/settings_test.go
+++ b/pooler/cmd/settings/settings_test.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -62,3 +64,23 @@
 		So(adopted.Zone, ShouldEqual, "za")
 	})
 }
+
+func TestBounds(t *testing.T) {
+	Convey("Spans are read in the unit that their name gives, have defaults, and are held to their bounds", t, func() {
+		read, err := Load("seamd", "", good)
+		So(err, ShouldBeNil)
+		So([]time.Duration{read.Grace, read.Drain}, ShouldResemble, []time.Duration{6 * time.Second, 7 * time.Second})
+		given := maps.Clone(good)
+		given["grace_s"], given["drain_ms"] = "4.5", "5000"
+		read, err = Load("seamd", "", given)
+		So(err, ShouldBeNil)
+		So([]time.Duration{read.Grace, read.Drain}, ShouldResemble, []time.Duration{4500 * time.Millisecond, 5 * time.Second})
+		given["grace_s"], given["drain_ms"] = "1", "soon"
+		_, err = Load("seamd", "", given)
+		all := strings.Join(Faults(err), "\n")
+		So(all, ShouldContainSubstring, "/grace_s: must be")
+		So(all, ShouldContainSubstring, "--drain-ms: not a number")
+		_, err = Load("seamc", "", map[string]string{"in_force_ms": "1000"})
+		So(strings.Join(Faults(err), "\n"), ShouldContainSubstring, "/in_force_ms: must be")
+	})
+}
--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -19,11 +19,21 @@
 	Margin time.Duration
 	// Wait is the longest that an ask waits for news.
 	Wait time.Duration
+	// InForce is within how long of its taking a set is in force everywhere.
+	InForce time.Duration
 }
 
+// Patience is how long after a set was taken, or was due, nodes may still
+// be leased to serve under the one before. After that they hold.
+func (t Timing) Patience() time.Duration { return t.InForce - 300*time.Millisecond }
+
+// Reach is how far past its taking leases may go while a set has no moment: a
+// node that is silent has lapsed by then, and the moment comes after the others'.
+func (t Timing) Reach() time.Duration { return t.InForce - 600*time.Millisecond }
+
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
-	return Timing{Full: 1600 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond}
+	return Timing{Full: 1600 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond, InForce: 3 * time.Second}
 }
 
 type holding struct {
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// Within fits the bounds to a stop that is waited for as long as grace, and to
+// instances that serve on for drain after they were heard to leave.
+func (t Timing) Within(grace, drain time.Duration) Timing {
+	t.Turns, t.Finish = grace/2-100*time.Millisecond, grace-600*time.Millisecond
+	t.Linger = min(t.Linger, t.Finish-600*time.Millisecond)
+	t.Leaving = max(drain-2*time.Second, drain/2)
+	t.Late = t.Leaving * 2 / 5
+	return t
+}
+
 // Outs are what the node sends to an instance.
 type OutKind int
 
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -311,14 +311,6 @@
 	}
 }
 
-// Patience is how long after a set was taken, or was due, nodes may still
-// be leased to serve under the one before. After that they hold.
-const Patience = 2700 * time.Millisecond
-
-// Reach is how far past its taking leases may go while a set has no moment: a
-// node that is silent has lapsed by then, and the moment comes after the others'.
-const Reach = 2400 * time.Millisecond
-
 func (m *Machine) room(wall int64) time.Duration {
 	if len(m.catchUp(wall)) > 0 {
 		return 0
@@ -329,10 +321,10 @@
 			return 0
 		}
 		if set.Moment == 0 || set.Moment > wall {
-			room = min(room, max(time.Duration(max(set.Taken, set.Due)-wall)+Patience, 0))
+			room = min(room, max(time.Duration(max(set.Taken, set.Due)-wall)+m.timing.Patience(), 0))
 		}
 		if set.Moment == 0 {
-			room = min(room, max(time.Duration(set.Taken-wall)+Reach, 0))
+			room = min(room, max(time.Duration(set.Taken-wall)+m.timing.Reach(), 0))
 		}
 	}
 	return room
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -20,8 +20,12 @@
 }
 
 func newDesk(epochNo uint64, held *table.Table) *desk {
+	return newDeskOf(lease.DefaultTiming(), epochNo, held)
+}
+
+func newDeskOf(timing lease.Timing, epochNo uint64, held *table.Table) *desk {
 	d := &desk{held: held, now: time.Hour, wall: int64(1000 * time.Hour)}
-	d.Machine = New("c1", lease.DefaultTiming(), epoch.Record{Epoch: epochNo, Primary: "c1", Backup: "c2"}, held, d.now)
+	d.Machine = New("c1", timing, epoch.Record{Epoch: epochNo, Primary: "c1", Backup: "c2"}, held, d.now)
 	return d
 }
 
@@ -103,16 +107,35 @@
 		d.ask("d1", d.held.Stamp)
 		d.put(0)
 		taken := d.wall
-		for d.wall < taken+int64(Reach) {
+		for d.wall < taken+int64(lease.DefaultTiming().Reach()) {
 			d.Machine.desk.OnAsk("d2", table.Stamp{}, d.now)
 			d.Machine.desk.Grant("d2", time.Minute, d.now)
-			left := time.Duration(taken + int64(Reach) - d.wall)
+			left := time.Duration(taken + int64(lease.DefaultTiming().Reach()) - d.wall)
 			So(d.ask("d1", d.held.Stamp).Lease, ShouldBeLessThanOrEqualTo, min(lease.DefaultTiming().Full, left))
 		}
 		d.Machine.desk.OnAsk("d2", table.Stamp{}, d.now)
 		d.Machine.desk.Grant("d2", time.Minute, d.now)
 		So(d.ask("d1", d.held.Stamp).Lease, ShouldEqual, 0)
 	})
+	Convey("With a node that falls silent, a set's moment is within the bound that the settings give", t, func() {
+		for _, bound := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 11 * time.Second} {
+			timing := lease.DefaultTiming()
+			timing.InForce = bound
+			d := newDeskOf(timing, 1, table.New())
+			for range 2 {
+				d.ask("d1", d.held.Stamp)
+				d.ask("d2", d.held.Stamp)
+			}
+			d.put(0)
+			taken := d.wall
+			for d.Doc().Newest().Moment == 0 && d.wall < taken+int64(time.Minute) {
+				d.ask("d1", d.held.Stamp)
+				d.settle()
+				d.pass(50 * time.Millisecond)
+			}
+			SoMsg(bound.String(), time.Duration(d.Doc().Newest().Moment-taken), ShouldBeBetween, 0, bound)
+		}
+	})
 	Convey("A moment set by an earlier tenure is brought in force before any lease goes out", t, func() {
 		d := newDesk(1, table.New())
 		d.ask("d1", table.Stamp{})
--- a/proof/scale/trial.go
+++ b/proof/scale/trial.go
@@ -333,7 +333,8 @@
 func (t *Trial) place(name, zone string, group, number int) settings.Settings {
 	link, door := address(group, number, linkPort), address(group, number, doorPort)
 	return settings.Settings{
-		Name: name, Zone: zone, Link: link, Door: door, AdvertiseLink: address(group, number, relayPort), AdvertiseDoor: door,
+		InForce: 3 * time.Second,
+		Name:    name, Zone: zone, Link: link, Door: door, AdvertiseLink: address(group, number, relayPort), AdvertiseDoor: door,
 		Seeds: seedsAt(relayPort), Weight: 1, LogLevel: "warn",
 	}
 }
