Tell nodes of a new control primary, and ask it and a peer at once

Cause: a node whose ask was out at a control primary that had gone waited for 750 ms of silence, and then asked through one peer alone. That peer was any node it watched, also a control machine, which does not answer for others, or the primary itself, and waited 800 ms in its turn.

Ruled out: the election (0.25 s after the processes were open), links (open by then).

Change: a control machine that takes primacy tells the data-plane nodes; one that hears of another primary gives up the ask that is out. After silence a node asks directly and through a peer, which is always a data-plane node, and takes the first answer. A peer that passes an ask on ends it the same way.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -60,6 +60,7 @@
 	seekAt   time.Duration
 	peersAt  time.Duration
 	awayAt   time.Duration
+	isTold   bool
 	seams    Seams
 }
 
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"tansyseam.example/pooler/coordination/ballot"
+	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/failover"
+	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/protocol/platform"
@@ -27,6 +29,7 @@
 func (c *Control) duties() {
 	c.flush()
 	c.move()
+	c.tellTurn()
 	now := c.node.Now()
 	if now < c.seekAt {
 		return
@@ -51,6 +54,21 @@
 	}
 }
 
+func (c *Control) tellTurn() {
+	isPrimary := c.isPrimary()
+	if isPrimary && !c.isTold {
+		c.tellNodes(c.node.Record())
+	}
+	c.isTold = isPrimary
+}
+
+// tellNodes spares the nodes the wait for an answer of the primary before.
+func (c *Control) tellNodes(record epoch.Record) {
+	for _, node := range c.node.Nodes(view.KindData, member.IsLive) {
+		c.node.Hub.Send(node.Link, msg.Turned{Record: record})
+	}
+}
+
 // isMoving says whether a writer role is on its way, so that each step of it
 // is taken as soon as it can be.
 func (c *Control) isMoving() bool {
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -59,6 +59,7 @@
 	members   *member.Machine
 	instances map[string]*Heard
 	record    epoch.Record
+	turn      chan struct{}
 	place     settings.Settings
 	heard     func(view.Instance)
 	synced    func(view.Instance) (door string, isTaken bool)
@@ -83,7 +84,7 @@
 	kind := program
 	n := &Node{
 		Crew: run.NewCrew(), Counts: &run.Counters{}, Log: log, Book: book, Program: program,
-		instances: map[string]*Heard{}, place: place,
+		instances: map[string]*Heard{}, place: place, turn: make(chan struct{}),
 		calls: map[string]Call{}, listens: map[reflect.Type]Listen{},
 	}
 	self := view.Node{
@@ -96,6 +97,7 @@
 		return http.StatusOK, map[string]any{"node": place.Name, "counters": n.Counts.Read()}
 	})
 	On(n, func(_ string, gossip member.Gossip, _ func(any)) { n.step(member.Told{Gossip: gossip}) })
+	On(n, func(_ string, turned msg.Turned, _ func(any)) { n.Saw(turned.Record) })
 	return n, nil
 }
 
@@ -254,9 +256,20 @@
 func (n *Node) Saw(record epoch.Record) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if record.Epoch > n.record.Epoch {
-		n.record = record
+	if record.Epoch <= n.record.Epoch {
+		return
+	}
+	if record.Primary != n.record.Primary {
+		close(n.turn)
+		n.turn = make(chan struct{})
 	}
+	n.record = record
+}
+
+func (n *Node) turning() <-chan struct{} {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.turn
 }
 
 // Record gives the newest epoch record seen.
--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -1,15 +1,18 @@
 package fleet
 
 import (
+	"iter"
 	"time"
 
 	"github.com/juju/errors"
 
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/state/view"
+	"tansyseam.example/pooler/transport/run"
 )
 
-// ErrNoPeer says that no watched peer is known.
+// ErrNoPeer says that no watched data-plane peer is known.
 const ErrNoPeer = errors.ConstError("no such peer")
 
 // Seeker is how one node's asks for news have gone lately.
@@ -20,62 +23,93 @@
 }
 
 // AskNews asks the control primary, or whoever may know it, for news. After an
-// ask that nobody answered every second one goes through a watched peer, in
-// case only the way to the primary is cut.
+// ask that nobody answered the next goes through a watched peer as well, in
+// case only the way to the primary is cut. It ends as soon as another control
+// primary is heard of.
 func (n *Node) AskNews(ask steer.AskNews, seeker *Seeker, bound time.Duration) (steer.News, bool) {
+	turning := n.turning()
 	primary, nodes := n.Primary()
 	if primary == "" && len(nodes) == 0 {
 		return steer.News{}, false
 	}
-	address := primary
+	address, silent := primary, seeker.Silent
 	if len(nodes) > 0 && (address == "" || seeker.Misses%3 == 2) {
 		address = nodes[seeker.Misses%len(nodes)].Link
 	}
-	var reply any
-	var err error
-	if primary != "" && seeker.Silent%2 == 1 {
-		reply, err = n.askThrough(ask, seeker.Silent, bound)
-	} else {
-		reply, err = n.Hub.Call(address, ask, bound)
+	ways := []func() (any, error){func() (any, error) { return n.Hub.Call(address, ask, bound) }}
+	if primary != "" && silent > 0 {
+		ways = append(ways, func() (any, error) { return n.askThrough(ask, silent, bound) })
 	}
-	news, isOne := reply.(steer.News)
-	if err != nil || !isOne {
+	seeker.Misses++
+	seeker.Silent++
+	for news := range n.race(ways, turning) {
+		n.Saw(news.Record)
+		seeker.Silent = 0
+		if news.IsPrimary {
+			seeker.Misses = 0
+			return news, true
+		}
+	}
+	if seeker.Silent > 0 {
 		n.Counts.Add("news_misses", 1)
-		seeker.Misses++
-		seeker.Silent++
-		return steer.News{}, false
 	}
-	n.Saw(news.Record)
-	seeker.Silent = 0
-	seeker.Misses++
-	if news.IsPrimary {
-		seeker.Misses = 0
+	return steer.News{}, false
+}
+
+// race gives the answers as they come, until all ways have ended or another
+// control primary is heard of.
+func (n *Node) race(ways []func() (any, error), turning <-chan struct{}) iter.Seq[steer.News] {
+	type outcome struct {
+		reply any
+		err   error
+	}
+	ended := make(chan outcome, len(ways))
+	for _, way := range ways {
+		n.Crew.Go(func() {
+			reply, err := way()
+			ended <- outcome{reply, err}
+		})
+	}
+	return func(yield func(steer.News) bool) {
+		for range ways {
+			one, isEnded := run.Take(ended, turning)
+			if !isEnded {
+				n.Counts.Add("news_turned", 1)
+				return
+			}
+			news, isNews := one.reply.(steer.News)
+			if one.err == nil && isNews && !yield(news) {
+				return
+			}
+		}
 	}
-	return news, news.IsPrimary
 }
 
 func (n *Node) askThrough(ask steer.AskNews, silent int, bound time.Duration) (any, error) {
-	watched := n.Watched()
-	if len(watched) == 0 {
-		return nil, ErrNoPeer
+	var peers []view.Node
+	for _, name := range n.Watched() {
+		if peer, isKnown := n.Find(name); isKnown && peer.Kind == view.KindData {
+			peers = append(peers, peer)
+		}
 	}
-	peer, isKnown := n.Find(watched[silent/2%len(watched)])
-	if !isKnown {
+	if len(peers) == 0 {
 		return nil, ErrNoPeer
 	}
+	peer := peers[silent%len(peers)]
 	ask.Via = peer.Name
 	n.Counts.Add("news_through_peer", 1)
 	return n.Hub.Call(peer.Link, msg.PassNews{Ask: ask}, bound)
 }
 
 // OnPassNews passes a peer's asks on to the control primary. Where that is not
-// known, or does not answer, the peer is told so at once.
+// known, does not answer or is no longer primary, the peer is told so at once.
 func (n *Node) OnPassNews(bound time.Duration) {
 	On(n, func(_ string, pass msg.PassNews, answer func(any)) {
-		address, _ := n.Primary()
-		if address != "" {
-			if reply, err := n.Hub.Call(address, pass.Ask, bound); err == nil {
-				answer(reply)
+		turning := n.turning()
+		if address, _ := n.Primary(); address != "" {
+			ask := func() (any, error) { return n.Hub.Call(address, pass.Ask, bound) }
+			for news := range n.race([]func() (any, error){ask}, turning) {
+				answer(news)
 				return
 			}
 		}
--- a/pooler/protocol/msg/msg.go
+++ b/pooler/protocol/msg/msg.go
@@ -60,6 +60,9 @@
 // Recorded answers a RecordCase.
 type Recorded struct{ IsKept bool }
 
+// Turned tells a data-plane node of another control primary.
+type Turned struct{ Record epoch.Record }
+
 // Query asks a node for its part of the fleet view, as JSON.
 type Query struct{ What string }
 
@@ -74,7 +77,7 @@
 		own := []any{
 			steer.AskNews{}, steer.Told{}, steer.News{}, PassNews{}, Operate{}, Operated{}, AskCase{}, CaseAnswer{}, steer.RecordCase{},
 			Recorded{}, goes.Ask{}, goes.Answer{}, goes.Legacy{}, goes.LegacyTaken{}, Query{}, QueryAnswer{}, ballot.Ask{}, ballot.Vote{}, member.Gossip{},
-			Announce{}, Announced{}, takeover.Mark{},
+			Announce{}, Announced{}, takeover.Mark{}, Turned{},
 		}
 		for _, body := range append(own, epoch.Messages()...) {
 			gob.Register(body)
