--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -64,6 +64,7 @@
 	rollAt   time.Duration
 	peersAt  time.Duration
 	awayAt   time.Duration
+	isTold   bool
 	seams    Seams
 }
 
