Give up on what waits in line before half of its time, with a time to come back

Cause: a statement for which there was no room, no lease or no writer was held to its deadline or for 700 ms, whichever came first; with a deadline of 1 s its client had no time for another try, and the answer came as the client left. Ruled out: refusing at a quarter of the aim (50 ms), which would refuse what the window makes wait on the ordinary path. Change: what waits in line ends with BUSY at 0.45 of its time, also where it waits for a lease: the time is that of its binding, which was not looked at there. What has begun a transaction waits to the end, since its work would be lost.

--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -131,7 +131,7 @@
 // expire ends what its bound has passed for: statements and openings.
 func (m *Machine) expire(now time.Duration) {
 	for _, j := range slices.Clone(m.leaseless) {
-		if j.phase == phaseLease && now >= min(j.deadline, j.arrived+m.timing.Away) {
+		if j.phase == phaseLease && now >= min(j.arrived+m.timing.Away, m.patience(j)) {
 			m.late(j, now)
 		}
 	}
@@ -139,7 +139,8 @@
 		for _, list := range []*[]*Job{&one.turns, &one.writes, &one.reads, &one.out, &one.confirms} {
 			for _, j := range slices.Clone(*list) {
 				isAway := j.phase == phaseLine && now >= j.arrived+m.timing.Away && m.isAway(one, j, now)
-				if j.phase != phaseEnded && (now >= j.deadline || isAway) {
+				isLong := j.phase == phaseLine && now >= m.patience(j)
+				if j.phase != phaseEnded && (now >= j.deadline || isAway || isLong) {
 					m.late(j, now)
 				}
 			}
@@ -167,6 +168,16 @@
 	m.unsure(j, "its primary lost the writer role before it answered", now)
 }
 
+// patience is until when a statement may wait in line: what is given up on is
+// told so while its client has time for another try. A transaction that has
+// begun waits to the end, since its work would be lost.
+func (m *Machine) patience(j *Job) time.Duration {
+	if j.turn != nil && j.turn.conn != nil {
+		return j.deadline
+	}
+	return j.arrived + time.Duration(float64(j.deadline-j.arrived)*m.timing.Patience)
+}
+
 // isAway says whether what a statement in line waits for is not there at all:
 // the lease, or the writer role.
 func (m *Machine) isAway(one *base, j *Job, now time.Duration) bool {
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -21,6 +21,9 @@
 func (m *Machine) bind(j *Job, now time.Duration) {
 	isStarted := j.turn != nil && j.turn.conn != nil
 	if !m.serve.IsLeased(now) && !(isStarted && j.turn.isRead) {
+		if binding, isBound := m.effective(now).Find(j.client.name); isBound && binding.Timeout > 0 {
+			j.deadline = j.arrived + binding.Timeout
+		}
 		j.phase = phaseLease
 		m.leaseless = append(m.leaseless, j)
 		return
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -25,6 +25,8 @@
 	// Away is how long a statement waits where not room is wanting, but the
 	// lease or the writer role; it is then told when to come back.
 	Away time.Duration
+	// Patience is the part of its time that a statement may wait in line.
+	Patience float64
 	// Welcome is how long a connect may wait for a lease and a set.
 	Welcome time.Duration
 	// Open bounds the opening of a connection.
@@ -71,7 +73,7 @@
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
 	return Timing{
-		Timeout: 5 * time.Second, Away: 700 * time.Millisecond, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
+		Timeout: 5 * time.Second, Away: 700 * time.Millisecond, Patience: 0.45, Welcome: 1800 * time.Millisecond, Open: 700 * time.Millisecond, Settle: 150 * time.Millisecond,
 		Reap: 10 * time.Second, Inside: 3 * time.Second, RestFirst: 40 * time.Millisecond, RestMost: 400 * time.Millisecond,
 		Spare: 40 * time.Millisecond,
 		Pause: 20 * time.Millisecond, Tries: 8,
