--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -35,6 +35,9 @@
 	// Muted is the last epoch in which this machine must not vote, since it
 	// may have voted there before it lost its disk.
 	Muted uint64
+	// IsLost says that the machine is named in the epoch decided, and lacks what
+	// it held there.
+	IsLost bool
 }
 
 // Saved is what the disk held when the machine started.
@@ -67,11 +70,15 @@
 	// Formed tells that all agreed.
 	Formed struct{ Cluster string }
 	// AskStanding asks how things stand.
-	AskStanding struct{}
-	// Standing tells it.
+	AskStanding struct{ Life int64 }
+	// Standing tells it. Voted is the last epoch on which the teller may have
+	// voted; Life is that of the ask, which a build that does not know it leaves
+	// out.
 	Standing struct {
 		Identity Identity
 		Decided  Record
+		Voted    uint64
+		Life     int64
 	}
 	// Renew asks for primacy for a bounded time.
 	// Life tells the asker's run of the program, which no answer outlives; a
@@ -156,8 +163,12 @@
 
 // Events.
 type (
-	// Tick is a clock event with this machine's wall clock.
-	Tick struct{ Wall int64 }
+	// Tick is a clock event with this machine's wall clock. Owed says for how
+	// long the disk has owed a sync.
+	Tick struct {
+		Wall int64
+		Owed time.Duration
+	}
 	// Heard is a message.
 	Heard struct {
 		From string
@@ -184,7 +195,7 @@
 		To   string
 		Body any
 	}
-	// Save syncs a file before what follows; when it fails the process ends.
+	// Save syncs a file before what follows and rests on it.
 	Save struct {
 		Kind     string
 		Sequence uint64
@@ -272,6 +283,8 @@
 	copies      uint64
 	started     time.Duration
 	isLost      bool
+	isTold      bool
+	owed        time.Duration
 	isUnsettled bool
 	isAhead     bool
 
@@ -334,7 +347,9 @@
 	m.isUnsettled = m.ballots.Voter.Promised.Name == self
 	decided := m.ballots.Decided
 	m.isAhead = decided.Primary == self && decided.Backup != "" && m.copy.Stamp.Epoch == decided.Epoch
-	m.isLost = saved.Identity == nil || (saved.Identity.IsFormed && (saved.Ballots == nil || saved.IsUnsound))
+	isForgetful := saved.Ballots == nil || saved.Ballots.IsLost
+	m.isLost = saved.Identity == nil || saved.IsUnsound || (saved.Identity.IsFormed && isForgetful)
+	m.isTold = m.isLost && !saved.IsUnsound && m.ballots.IsLost
 	m.asked = -timing.Form
 	return m
 }
@@ -400,6 +415,15 @@
 // may have done so before it lost its disk.
 func (m *Machine) IsMuted() bool { return m.ballots.Muted > m.ballots.Decided.Epoch }
 
+// voted gives the last epoch on which this machine may have accepted a record.
+func (m *Machine) voted() uint64 {
+	last := max(m.ballots.Decided.Epoch, m.ballots.Muted)
+	if m.ballots.Voter.Accepted.Name != "" {
+		last = max(last, m.ballots.Decided.Epoch+1)
+	}
+	return last
+}
+
 // Wall gives the wall clock that a majority of the disk machines agree on:
 // the median, so that one skewed clock moves nothing. While primacy is held
 // it only creeps, so that the nodes' reckonings of it stay alike.
@@ -453,6 +477,7 @@
 
 func (m *Machine) saveBallots() {
 	m.ballots.Sequence++
+	m.ballots.IsLost = m.isLost
 	m.emit(Save{Kind: FileBallots, Sequence: m.ballots.Sequence, Data: table.Encode(m.ballots)})
 }
 
@@ -478,7 +503,7 @@
 }
 
 func (m *Machine) onTick(tick Tick, now time.Duration) {
-	m.wall, m.wallAt = tick.Wall, now
+	m.wall, m.wallAt, m.owed = tick.Wall, now, tick.Owed
 	if m.life == 0 {
 		m.life = tick.Wall
 	}
@@ -494,14 +519,25 @@
 		return
 	}
 	m.failQueue()
-	isBackup := m.ballots.Decided.Backup == m.self
+	isBackup := m.ballots.Decided.Backup == m.self && !m.IsMuted() && !m.isStalled()
 	isSilent := now >= m.grantAt+m.timing.Primacy && now >= m.started+m.timing.Primacy
 	if isBackup && isSilent && m.round == nil && now >= m.waitUntil {
 		m.propose(Record{Epoch: m.ballots.Decided.Epoch + 1, Primary: m.self}, now)
 	}
 }
 
+// isStalled says that the disk has owed a sync for longer than a backup's is
+// waited for.
+func (m *Machine) isStalled() bool { return m.owed > m.timing.Reply }
+
 func (m *Machine) tickPrimary(now time.Duration) {
+	if m.isStalled() {
+		m.refuseIdle(now)
+		return
+	}
+	if m.pending != nil && m.owed > 0 {
+		m.pending.sent = now
+	}
 	if now-m.renewed >= m.timing.Renew {
 		m.renewed = now
 		m.setClock(now)
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -51,7 +51,6 @@
 	holder  *lease.Holder
 	doc     view.Doc
 	shown   uint64
-	isCut   bool
 	asks    uint64
 	sights  map[string]*Sight
 	samples map[string][]sample
@@ -166,8 +165,8 @@
 	told := m.Told(now, lags)
 	m.asks++
 	return steer.AskNews{
-		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, IsCut: m.isCut, Reports: told.Reports, Highs: told.Highs,
-		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
+		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, Reports: told.Reports, Highs: told.Highs,
+		Shows: current.Sequence, Number: m.asks, IsDelta: true, IsBare: m.holder.Bare(now),
 	}
 }
 
@@ -195,20 +194,22 @@
 }
 
 // Take takes news that answers an ask sent at a moment. What it forbids is
-// in force at once, and the next ask tells the primary so.
+// in force at once, and the next ask tells the primary so. A Doc written after
+// another state than the one held brings no lease, since that goes only with
+// the newest.
 func (m *Machine) Take(news steer.News, sent, now time.Duration) []Moved {
 	var moved []Moved
 	if news.Doc != nil && m.doc.Stamp.IsBefore(news.Doc.Stamp) {
-		moved = m.takeDoc(*news.Doc)
+		whole, isFit := m.doc.With(*news.Doc)
+		if !isFit {
+			return nil
+		}
+		moved = m.takeDoc(whole)
 	}
 	m.holder.OnGrant(lease.Grant{
 		Epoch: news.Record.Epoch, Primary: news.Record.Primary, Length: news.Lease, Wall: news.Wall, Held: news.Held,
 	}, sent, now)
 	m.reckon(now)
-	m.isCut = m.doc.IsPending()
-	if m.isCut {
-		m.holder.Cut(now)
-	}
 	m.Effective(now)
 	return moved
 }
--- a/pooler/coordination/serve/serve_test.go
+++ b/pooler/coordination/serve/serve_test.go
@@ -117,3 +117,36 @@
 		So(m.Judge("x", 1, at(1, 8), now), ShouldEqual, VerdictUnknown)
 	})
 }
+
+func TestNewsSince(t *testing.T) {
+	now := time.Hour
+	Convey("News written after the state held is added to it; news written after another brings neither state nor lease", t, func() {
+		m := serving(open(), now)
+		have := m.Stamp()
+		closing := open()
+		closing.Phase = view.PhaseClosing
+		news := func(since table.Stamp) steer.News {
+			doc := view.Doc{Stamp: table.Stamp{Epoch: 1, Sequence: 9}, Since: since, Writers: map[string]view.Writer{"y": {Database: "y", Term: 1}, "x": closing}}
+			return steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}, Lease: 1600 * ms, Wall: int64(now), Doc: &doc}
+		}
+		left := m.Left(now)
+		So(m.Take(news(table.Stamp{Epoch: 1, Sequence: 8}), now+100*ms, now+100*ms), ShouldBeEmpty)
+		So(m.Stamp(), ShouldResemble, have)
+		So(m.Left(now), ShouldEqual, left)
+		So(len(m.Take(news(have), now+100*ms, now+100*ms)), ShouldEqual, 2)
+		So(m.Writer("x").Phase, ShouldEqual, view.PhaseClosing)
+		So(m.Left(now), ShouldBeGreaterThan, left)
+	})
+}
+
+func TestLeaseBesideASetOnItsWay(t *testing.T) {
+	now := time.Hour
+	Convey("A set that is taken up while it has no moment leaves the lease as long as it was", t, func() {
+		m := serving(open(), now)
+		doc := view.Doc{Stamp: table.Stamp{Epoch: 1, Sequence: 2}, Sets: []view.Set{{Sequence: 1}}, Writers: m.Doc().Writers}
+		before := m.Left(now + 10*ms)
+		m.Take(steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}, Wall: int64(now), Doc: &doc}, now, now+10*ms)
+		So(m.Doc().IsPending(), ShouldBeTrue)
+		So(m.Left(now+10*ms), ShouldEqual, before)
+	})
+}
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -39,7 +39,6 @@
 	Node    string
 	Kind    string
 	Have    table.Stamp
-	IsCut   bool
 	Reports []Report
 	Highs   map[string]view.Position
 	// Shows is the sequence of the set in force at the node.
@@ -52,6 +51,8 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
+	// IsDelta says that the asker takes a Doc of what was written after Have.
+	IsDelta bool
 	// IsBare says that the node holds no lease, nor will by an earlier grant.
 	IsBare bool
 }
@@ -70,7 +71,8 @@
 	Highs   map[string]view.Position
 }
 
-// News answers AskNews; Doc is nil where there is none newer.
+// News answers AskNews; Doc is nil where there is none newer, and only of what
+// was written since where the asker takes that and has one of this tenure.
 type News struct {
 	IsPrimary bool
 	Record    epoch.Record
@@ -79,8 +81,9 @@
 	// Held is how long the ask waited for its answer.
 	Held time.Duration
 	Doc  *view.Doc
-	// Roll numbers Instances, which is nil where the asker has that roll.
-	// What is not on it may still live; what has gone is marked so.
+	// Roll numbers Instances, which are those that turned since the asker's
+	// roll, all of them where that is of another tenure. What is not among
+	// them may still live; what has gone is marked so.
 	Roll      Roll
 	Instances []view.Instance
 }
@@ -137,9 +140,13 @@
 	tenure      string
 	isEnrolling map[string]bool
 	inherited   table.Stamp
-	isSure      bool
+	// from is the epoch in which this tenure began, and first the stamp of the
+	// first write that it published; a node that has that has no other past.
+	from   uint64
+	first  table.Stamp
+	isSure bool
 
-	roll     []view.Instance
+	roll     map[string]listed
 	rollNo   uint64
 	births   map[string]lives
 	leased   map[string]bool
@@ -152,7 +159,7 @@
 
 // New makes the machine with the record and state held on disk.
 func New(self string, timing lease.Timing, record epoch.Record, held *table.Table, now time.Duration) *Machine {
-	m := &Machine{self: self, timing: timing, record: record}
+	m := &Machine{self: self, timing: timing, record: record, from: record.Epoch + 1}
 	m.Wrote(held)
 	m.clear(now)
 	return m
@@ -226,6 +233,9 @@
 func (m *Machine) Turn(record epoch.Record, held *table.Table, now time.Duration) bool {
 	isNew := record.Primary == m.self && m.record.Primary != m.self
 	m.record = record
+	if isNew {
+		m.from, m.first = record.Epoch, table.Stamp{}
+	}
 	m.Wrote(held)
 	if isNew {
 		m.clear(now)
@@ -241,8 +251,14 @@
 // Wrote takes the state that is safe to publish.
 func (m *Machine) Wrote(held *table.Table) {
 	before := m.doc
+	m.doc, _ = view.DocFrom(held, before, m.table)
 	m.table = held
-	m.doc = view.DocOf(held)
+	if m.first == (table.Stamp{}) && held.Stamp.Epoch >= m.from {
+		m.first = held.Stamp
+	}
+	if m.doc.Stamp.IsBefore(m.first) {
+		m.doc.Stamp = m.first
+	}
 	if before.IsPending() && !m.doc.IsPending() && m.desk != nil {
 		m.desk.Thaw()
 	}
@@ -269,7 +285,7 @@
 	if ask.Kind == view.KindData {
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
-		m.desk.OnAsk(ask.Node, ask.Have, ask.IsCut && !isLate, now)
+		m.desk.OnAsk(ask.Node, ask.Have, now)
 		if ask.IsBare && !isLate && ask.Birth != 0 {
 			m.desk.OnBare(ask.Node, now)
 		}
@@ -299,6 +315,10 @@
 // be leased to serve under the one before. After that they hold.
 const Patience = 2700 * time.Millisecond
 
+// Reach is how far past its taking leases may go while a set has no moment: a
+// node that is silent has lapsed by then, and the moment comes after the others'.
+const Reach = 2400 * time.Millisecond
+
 func (m *Machine) room(wall int64) time.Duration {
 	if len(m.catchUp(wall)) > 0 {
 		return 0
@@ -311,6 +331,9 @@
 		if set.Moment == 0 || set.Moment > wall {
 			room = min(room, max(time.Duration(max(set.Taken, set.Due)-wall)+Patience, 0))
 		}
+		if set.Moment == 0 {
+			room = min(room, max(time.Duration(set.Taken-wall)+Reach, 0))
+		}
 	}
 	return room
 }
@@ -323,7 +346,7 @@
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait(wall)
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -331,14 +354,13 @@
 		news := News{IsPrimary: isPrimary, Record: m.record, Wall: wall, Held: now - held.came}
 		if isPrimary {
 			if isNews {
-				doc := m.doc
-				news.Doc = &doc
+				news.Doc = m.docSince(held.ask)
 			}
 			if isRoll {
-				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
+				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
 			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
-				news.Lease = m.desk.Grant(held.ask.Node, m.doc.IsPending(), m.room(wall), now)
+				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
 		replies = append(replies, Reply{held.token, news})
@@ -347,6 +369,14 @@
 	return replies
 }
 
+func (m *Machine) docSince(ask AskNews) *view.Doc {
+	doc := m.doc
+	if ask.IsDelta && m.first != (table.Stamp{}) && !ask.Have.IsBefore(m.first) {
+		doc = doc.After(ask.Have, m.table)
+	}
+	return &doc
+}
+
 // Heard is an instance as this machine itself heard it.
 type Heard struct {
 	Instance view.Instance
@@ -513,7 +543,7 @@
 }
 
 // SetKey is the key of a binding set.
-func SetKey(sequence uint64) string { return fmt.Sprintf("%s%012d", view.KeySet, sequence) }
+func SetKey(sequence uint64) string { return view.SetKey(sequence) }
 
 // Land gives the next write that brings a booked or pending set on its way,
 // if one is due: a booking is taken a little before its moment, and a set
@@ -548,6 +578,9 @@
 	}
 	earliest := m.desk.Latest(now) + m.timing.Margin
 	m.desk.Freeze(earliest)
+	if isFirst := m.doc.Sets[0].Moment == 0; isFirst {
+		earliest = now + m.timing.Margin
+	}
 	m.isLand = true
 	moment := wall + int64(earliest-now)
 	seen, by := m.doc.Stamp, m.tenure
