Keep reports by instance and lapses by the clock, so a case and an ask don't walk all

Cause: at each ask steer's watch copied the set of leased nodes; a case of one database walked the reports of all nodes on all databases, and its answer listed all databases and looked through all instances for each; 10 looks a second at each of 30 databases. Tidy copied the leased nodes 40 times a second, and the room of each lease walked what all nodes show. Ruled out: fewer looks, which would move a role later. Change: the desk counts lapses and looks through its nodes only when the soonest end has come; reports are by instance and node, dropped with the node; announced instances are also by database; a case carries no lists.

--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -325,15 +325,22 @@
 	}
 }
 
-func (c *Control) heard() []steer.Heard {
-	var list []steer.Heard
-	for _, one := range c.node.Instances(5 * time.Minute) {
-		list = append(list, steer.Heard{Instance: one.Instance, At: one.At})
+const knownFor = 5 * time.Minute
+
+func heardOf(list []fleet.Heard) []steer.Heard {
+	var all []steer.Heard
+	for _, one := range list {
+		all = append(all, steer.Heard{Instance: one.Instance, At: one.At})
 	}
-	return list
+	return all
 }
 
+func (c *Control) heard() []steer.Heard { return heardOf(c.node.Instances(knownFor)) }
+
 func (c *Control) onAskCase(ask msg.AskCase) msg.CaseAnswer {
+	if ask.Database != "" {
+		return c.caseOf(ask.Database)
+	}
 	heard := c.heard()
 	now := c.node.Now()
 	c.mutex.Lock()
@@ -347,14 +354,23 @@
 			answer.Synced = append(answer.Synced, database)
 		}
 	}
-	if ask.Database == "" {
-		return answer
+	return answer
+}
+
+func (c *Control) caseOf(database string) msg.CaseAnswer {
+	heard := heardOf(c.node.InstancesOf(database, knownFor))
+	now := c.node.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now >= c.primacy {
+		return msg.CaseAnswer{}
 	}
-	if slices.Contains(answer.Synced, ask.Database) {
-		answer.Takeover = c.steer.Takeover(ask.Database, heard, c.wallNow(), now)
+	answer := msg.CaseAnswer{IsPrimary: true}
+	if c.steer.IsSynced(database, heard) {
+		answer.Takeover = c.steer.Takeover(database, heard, c.wallNow(), now)
 		return answer
 	}
-	answer.Case = c.steer.Case(ask.Database, heard, c.wallNow(), now)
+	answer.Case = c.steer.Case(database, heard, c.wallNow(), now)
 	return answer
 }
 
--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -145,6 +145,29 @@
 	})
 }
 
+func TestCasesOfMany(t *testing.T) {
+	Convey("A case carries no list of the databases, and takes as much from memory however many there are", t, func() {
+		taken := func(databases int) float64 {
+			b := newBench(t, t.TempDir())
+			b.work()
+			for number := range databases {
+				for _, name := range []string{"a", "b", "c"} {
+					one := announced(fmt.Sprintf("i-%s-%d", name, number), view.RoleReplica, 1)
+					one.Database = fmt.Sprintf("db%d", number)
+					b.node.Announce(one)
+				}
+			}
+			answer := b.onAskCase(msg.AskCase{Database: "db1"})
+			So(len(answer.Takeover.Sights), ShouldEqual, 3)
+			So(answer.Databases, ShouldBeEmpty)
+			So(answer.Synced, ShouldBeEmpty)
+			So(len(b.onAskCase(msg.AskCase{}).Synced), ShouldEqual, databases)
+			return testing.AllocsPerRun(20, func() { b.onAskCase(msg.AskCase{Database: "db1"}) })
+		}
+		So(taken(40), ShouldAlmostEqual, taken(4), 2)
+	})
+}
+
 func TestEvidence(t *testing.T) {
 	at := func(phase string, since int64) takeover.Case {
 		return takeover.Case{Database: "db", IsKnown: true, IsSettled: true, Event: 3, Tenure: "c1@1", Writer: view.Writer{Database: "db", Term: 3, Primary: "a", Phase: phase, Since: since, IsSynced: true}}
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	mutex     sync.Mutex
 	members   *member.Machine
 	instances map[string]*Heard
+	onBase    map[string]map[string]*Heard
 	record    epoch.Record
 	place     settings.Settings
 	heard     func(view.Instance)
@@ -83,7 +85,7 @@
 	kind := program
 	n := &Node{
 		Crew: run.NewCrew(), Counts: &run.Counters{}, Log: log, Book: book, Program: program,
-		instances: map[string]*Heard{}, place: place,
+		instances: map[string]*Heard{}, onBase: map[string]map[string]*Heard{}, place: place,
 		calls: map[string]Call{}, listens: map[reflect.Type]Listen{},
 	}
 	self := view.Node{
@@ -270,19 +272,24 @@
 func (n *Node) Instances(within time.Duration) []Heard {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := n.Now()
+	return listed(n.instances, n.Now(), within)
+}
+
+// InstancesOf does the same for one database.
+func (n *Node) InstancesOf(database string, within time.Duration) []Heard {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return listed(n.onBase[database], n.Now(), within)
+}
+
+func listed(of map[string]*Heard, now, within time.Duration) []Heard {
 	var list []Heard
-	for _, heard := range n.instances {
+	for _, heard := range of {
 		if now-heard.At <= within {
 			list = append(list, *heard)
 		}
 	}
-	slices.SortFunc(list, func(a, b Heard) int {
-		if a.Instance.Name < b.Instance.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Heard) int { return strings.Compare(a.Instance.Name, b.Instance.Name) })
 	return list
 }
 
@@ -323,9 +330,13 @@
 		return true
 	}
 	n.instances[instance.Name] = &Heard{Instance: instance, At: now}
+	if n.onBase[instance.Database] == nil {
+		n.onBase[instance.Database] = map[string]*Heard{}
+	}
+	n.onBase[instance.Database][instance.Name] = n.instances[instance.Name]
 	if now > n.sweptAt+10*time.Second {
 		n.sweptAt = now
-		maps.DeleteFunc(n.instances, func(_ string, other *Heard) bool { return now-other.At > 5*time.Minute })
+		n.sweep(now)
 	}
 	n.mutex.Unlock()
 	isTurned := !isKnown || before.Instance.Role != instance.Role || before.Instance.Birth != instance.Birth ||
@@ -340,6 +351,17 @@
 	return true
 }
 
+func (n *Node) sweep(now time.Duration) {
+	isLost := func(_ string, one *Heard) bool { return now-one.At > 5*time.Minute }
+	maps.DeleteFunc(n.instances, isLost)
+	for database, of := range n.onBase {
+		maps.DeleteFunc(of, isLost)
+		if len(of) == 0 {
+			delete(n.onBase, database)
+		}
+	}
+}
+
 const countsAnew = 5 * time.Second
 
 func isLate(instance view.Instance, before Heard, now time.Duration) bool {
--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -30,6 +30,8 @@
 type holding struct {
 	until time.Duration
 	acked table.Stamp
+	// isCounted says that its lapse was not yet counted.
+	isCounted bool
 }
 
 // Desk is what the control primary has given out.
@@ -38,14 +40,17 @@
 	began  time.Duration
 	nodes  map[string]holding
 	frozen time.Duration
+	// lapses counts the leases seen to lapse; none lapses before soonest.
+	lapses  uint64
+	soonest time.Duration
 }
 
 // NewDesk starts with no lease of its own given out. Each node on record may
 // hold one of an earlier primary's, for up to a full lease.
 func NewDesk(timing Timing, nodes []string, now time.Duration) *Desk {
-	d := &Desk{timing: timing, began: now, nodes: map[string]holding{}}
+	d := &Desk{timing: timing, began: now, nodes: map[string]holding{}, soonest: now + timing.Full}
 	for _, node := range nodes {
-		d.nodes[node] = holding{until: now + timing.Full}
+		d.nodes[node] = holding{until: now + timing.Full, isCounted: true}
 	}
 	return d
 }
@@ -62,6 +67,7 @@
 	}
 	if isCut {
 		held.until = min(held.until, now+d.timing.Short)
+		d.soonest = min(d.soonest, held.until)
 	}
 	d.nodes[node] = held
 }
@@ -70,6 +76,7 @@
 func (d *Desk) OnBare(node string, now time.Duration) {
 	if held, isMet := d.nodes[node]; isMet {
 		held.until = min(held.until, now)
+		d.soonest = min(d.soonest, held.until)
 		d.nodes[node] = held
 	}
 }
@@ -88,10 +95,35 @@
 		length = max(min(length, d.frozen-now), 0)
 	}
 	held.until = max(held.until, now+length)
+	if held.until > now {
+		held.isCounted = true
+		d.soonest = min(d.soonest, held.until)
+	}
 	d.nodes[node] = held
 	return length
 }
 
+// Lapses counts the leases that were seen to lapse up to now. The nodes are
+// looked through only when one may have.
+func (d *Desk) Lapses(now time.Duration) uint64 {
+	if now < d.soonest {
+		return d.lapses
+	}
+	d.soonest = now + d.timing.Full
+	for name, held := range d.nodes {
+		if held.until > now {
+			d.soonest = min(d.soonest, held.until)
+			continue
+		}
+		if held.isCounted {
+			held.isCounted = false
+			d.nodes[name] = held
+			d.lapses++
+		}
+	}
+	return d.lapses
+}
+
 // Freeze bars leases past a moment until the moment is safely recorded.
 func (d *Desk) Freeze(until time.Duration) { d.frozen = until }
 
@@ -117,6 +149,9 @@
 	return latest
 }
 
+// IsHeld says whether a node may hold a lease.
+func (d *Desk) IsHeld(node string, now time.Duration) bool { return d.nodes[node].until > now }
+
 // Held lists the nodes that may hold a lease, with what each has taken up.
 func (d *Desk) Held(now time.Duration) map[string]table.Stamp {
 	nodes := map[string]table.Stamp{}
@@ -141,7 +176,12 @@
 }
 
 // Forget drops a node that is no longer on record.
-func (d *Desk) Forget(node string) { delete(d.nodes, node) }
+func (d *Desk) Forget(node string) {
+	if d.nodes[node].isCounted {
+		d.lapses++
+	}
+	delete(d.nodes, node)
+}
 
 // Began gives when this primary took the desk.
 func (d *Desk) Began() time.Duration { return d.began }
--- /dev/null
+++ b/pooler/coordination/steer/cost_test.go
@@ -0,0 +1,60 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/state/table"
+	"tansyseam.example/pooler/state/view"
+)
+
+// crowded gives a desk at which so many nodes hold a lease, each of which
+// reports on a database of its own; d0 reports on db0.
+func crowded(nodes int) *desk {
+	d := newDesk(1, table.New())
+	for number := range nodes {
+		d.puts(table.Put{Key: view.KeyNode + fmt.Sprintf("d%d", number)}, writerPut(fmt.Sprintf("db%d", number), 1))
+	}
+	for number := range nodes {
+		seen := instance(fmt.Sprintf("a%d", number), view.RolePrimary)
+		seen.Database = fmt.Sprintf("db%d", number)
+		d.Ask(AskNews{Node: fmt.Sprintf("d%d", number), Kind: view.KindData, Have: d.Doc().Stamp, Reports: []Report{{Instance: seen}}}, 1, d.now)
+	}
+	d.pass(Wait)
+	d.Flush(true, d.wall, d.now)
+	return d
+}
+
+func TestAllocations(t *testing.T) {
+	few, many := crowded(10), crowded(400)
+	Convey("An ask takes as much from memory however many nodes hold a lease", t, func() {
+		allocations := func(d *desk) float64 {
+			ask := AskNews{Node: "d0", Kind: view.KindData, Have: d.Doc().Stamp}
+			return testing.AllocsPerRun(100, func() {
+				d.Ask(ask, 1, d.now)
+				d.Flush(true, d.wall, d.now+Wait)
+			})
+		}
+		So(allocations(many), ShouldEqual, allocations(few))
+	})
+	Convey("A case takes as much from memory however many nodes report on other databases", t, func() {
+		allocations := func(d *desk) float64 {
+			heard := instance("a0", view.RolePrimary)
+			heard.Database = "db0"
+			return testing.AllocsPerRun(100, func() {
+				d.Takeover("db0", []Heard{{Instance: heard, At: d.now}}, d.wall, d.now)
+				d.Case("db0", []Heard{{Instance: heard, At: d.now}}, d.wall, d.now)
+			})
+		}
+		So(allocations(many), ShouldEqual, allocations(few))
+	})
+	Convey("What a node reported is dropped with the node", t, func() {
+		So(len(few.reports["a3"]), ShouldEqual, 1)
+		few.pass(forget + time.Minute)
+		few.settle()
+		So(few.reports["a3"], ShouldBeEmpty)
+	})
+}
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -125,14 +126,18 @@
 
 // Machine is the control primary's side.
 type Machine struct {
-	self        string
-	timing      lease.Timing
-	record      epoch.Record
-	table       *table.Table
-	doc         view.Doc
-	desk        *lease.Desk
-	waiters     []waiter
+	self    string
+	timing  lease.Timing
+	record  epoch.Record
+	table   *table.Table
+	doc     view.Doc
+	desk    *lease.Desk
+	waiters []waiter
+	// reports are by instance and node, reportsOn names the instances of each
+	// database among them, and told is when a node last brought any.
 	reports     map[string]map[string]reported
+	reportsOn   map[string]map[string]bool
+	told        map[string]time.Duration
 	highs       map[string]view.Position
 	shows       map[string]uint64
 	settled     map[string]settledAt
@@ -150,7 +155,7 @@
 	roll     map[string]listed
 	rollNo   uint64
 	births   map[string]lives
-	leased   map[string]bool
+	lapses   uint64
 	evidence map[string]time.Duration
 	event    uint64
 	covered  map[string]uint64
@@ -170,7 +175,8 @@
 	m.desk = lease.NewDesk(m.timing, m.known(), now)
 	m.isEnrolling = map[string]bool{}
 	m.tenure = ""
-	m.reports = map[string]map[string]reported{}
+	m.reports, m.reportsOn = map[string]map[string]reported{}, map[string]map[string]bool{}
+	m.told = map[string]time.Duration{}
 	m.highs = map[string]view.Position{}
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
@@ -220,7 +226,7 @@
 			for _, node := range names {
 				delete(m.isEnrolling, node)
 				if !m.isKnown(node) {
-					m.desk.Forget(node)
+					m.forget(node)
 				}
 			}
 		},
@@ -229,6 +235,15 @@
 
 const forget = 2 * time.Minute
 
+func (m *Machine) forget(node string) {
+	m.desk.Forget(node)
+	delete(m.told, node)
+	delete(m.shows, node)
+	for _, by := range m.reports {
+		delete(by, node)
+	}
+}
+
 // Turn takes an epoch record; it gives true when this machine has become
 // primary, with nothing known of what an earlier one gave out.
 func (m *Machine) Turn(record epoch.Record, held *table.Table, now time.Duration) bool {
@@ -298,13 +313,8 @@
 
 // Gather takes in what a node sees.
 func (m *Machine) Gather(told Told, now time.Duration) {
-	held := m.reports[told.Node]
-	if held == nil {
-		held = map[string]reported{}
-		m.reports[told.Node] = held
-	}
 	for _, report := range told.Reports {
-		held[report.Instance.Name] = reported{report: report, at: now}
+		m.note(told.Node, report, now)
 		m.noteEvidence(report, now)
 	}
 	for name, high := range told.Highs {
@@ -312,6 +322,19 @@
 	}
 }
 
+func (m *Machine) note(node string, report Report, now time.Duration) {
+	name, database := report.Instance.Name, report.Instance.Database
+	if m.reports[name] == nil {
+		m.reports[name] = map[string]reported{}
+	}
+	if m.reportsOn[database] == nil {
+		m.reportsOn[database] = map[string]bool{}
+	}
+	m.reports[name][node] = reported{report: report, at: now}
+	m.reportsOn[database][name] = true
+	m.told[node] = now
+}
+
 // Patience is how long after a set was taken, or was due, nodes may still
 // be leased to serve under the one before. After that they hold.
 const Patience = 2700 * time.Millisecond
@@ -400,43 +423,29 @@
 	writer = view.CloneWriter(writer)
 	writer.High = writer.High.Later(m.highs[database])
 	at := failover.Case{Database: database, Writer: writer, IsKnown: isKnown, Wall: wall, Age: now - m.desk.Began()}
-	held := m.desk.Held(now)
-	for name := range m.reports {
-		if _, isLeased := held[name]; isLeased && m.isFresh(name, now) {
+	for name, told := range m.told {
+		if now-told < time.Second && m.desk.IsHeld(name, now) {
 			at.Asked++
 		}
 	}
 	for _, one := range heard {
 		if one.Instance.Database == database {
-			at.Sights = append(at.Sights, m.sight(one, held, now))
+			at.Sights = append(at.Sights, m.sight(one, now))
 		}
 	}
 	m.settle(&at, now)
 	return at
 }
 
-func (m *Machine) isFresh(node string, now time.Duration) bool {
-	for _, one := range m.reports[node] {
-		if now-one.at < time.Second {
-			return true
-		}
-	}
-	return false
-}
-
 const never = time.Hour
 
-func (m *Machine) sight(heard Heard, held map[string]table.Stamp, now time.Duration) failover.Sight {
+func (m *Machine) sight(heard Heard, now time.Duration) failover.Sight {
 	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At, Placed: never}
 	told := sight.Heard
-	var nodes []string
-	for node := range m.reports {
-		nodes = append(nodes, node)
-	}
-	slices.Sort(nodes)
-	for _, node := range nodes {
-		one, isReported := m.reports[node][heard.Instance.Name]
-		if _, isLeased := held[node]; !isLeased || !isReported || now-one.at > time.Second {
+	reports := m.reports[heard.Instance.Name]
+	for _, node := range slices.Sorted(maps.Keys(reports)) {
+		one := reports[node]
+		if now-one.at > time.Second || !m.desk.IsHeld(node, now) {
 			continue
 		}
 		sight.Asked++
@@ -579,6 +588,9 @@
 }
 
 func (m *Machine) catchUp(wall int64) []view.Set {
+	if !slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return set.Moment > wall }) {
+		return nil
+	}
 	shown := uint64(0)
 	for _, sequence := range m.shows {
 		shown = max(shown, sequence)
@@ -639,11 +651,14 @@
 // behind, if there are any.
 func (m *Machine) Tidy(wall int64, now time.Duration) (Write, bool) {
 	lowest := m.doc.Effective(wall).Sequence
+	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
+	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
+		return Write{}, false
+	}
 	for node := range m.desk.Held(now) {
 		lowest = min(lowest, m.shows[node])
 	}
-	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
-	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
+	if m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
 	m.isTidy = true
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -22,7 +22,7 @@
 
 func (m *Machine) clearSynced() {
 	m.roll, m.rollNo = map[string]listed{}, 0
-	m.births, m.leased = map[string]lives{}, map[string]bool{}
+	m.births, m.lapses = map[string]lives{}, 0
 	m.evidence = map[string]time.Duration{}
 	m.event = 1
 	m.covered, m.marks, m.phases = map[string]uint64{}, map[string]view.Position{}, map[string]phaseAt{}
@@ -108,17 +108,10 @@
 }
 
 func (m *Machine) watch(now time.Duration) {
-	held := map[string]bool{}
-	for node := range m.desk.Held(now) {
-		held[node] = true
+	if lapses := m.desk.Lapses(now); lapses != m.lapses {
+		m.event++
+		m.lapses = lapses
 	}
-	for node := range m.leased {
-		if !held[node] {
-			m.event++
-			break
-		}
-	}
-	m.leased = held
 }
 
 // lives is what the asks of one node tell of its runs.
@@ -196,17 +189,16 @@
 		Age: now - m.desk.Began(), Tenure: m.tenureOf(wall), Event: m.event, Covered: m.covered[database],
 		Bound: m.marks[database].Later(writer.High),
 	}
-	held := m.desk.Held(now)
 	isMet := map[string]bool{}
 	for _, one := range heard {
 		if one.Instance.Database == database && one.Instance.IsSynced {
 			isMet[one.Instance.Name] = true
-			at.Sights = append(at.Sights, m.syncedSight(one.Instance, now-one.At, held, now))
+			at.Sights = append(at.Sights, m.syncedSight(one.Instance, now-one.At, now))
 		}
 	}
 	for _, instance := range m.reportedOf(database) {
 		if !isMet[instance.Name] {
-			at.Sights = append(at.Sights, m.syncedSight(instance, time.Hour, held, now))
+			at.Sights = append(at.Sights, m.syncedSight(instance, time.Hour, now))
 		}
 	}
 	m.settlePhase(&at, now)
@@ -214,27 +206,26 @@
 }
 
 func (m *Machine) reportedOf(database string) []view.Instance {
-	found := map[string]view.Instance{}
-	for _, node := range slices.Sorted(maps.Keys(m.reports)) {
-		for name, one := range m.reports[node] {
-			if one.report.Instance.Database == database && one.report.Instance.IsSynced && one.report.Instance.Address != "" {
-				found[name] = one.report.Instance
+	var list []view.Instance
+	for _, name := range slices.Sorted(maps.Keys(m.reportsOn[database])) {
+		last, found := "", view.Instance{}
+		for node, one := range m.reports[name] {
+			if one.report.Instance.IsSynced && one.report.Instance.Address != "" && node > last {
+				last, found = node, one.report.Instance
 			}
 		}
-	}
-	var list []view.Instance
-	for _, name := range slices.Sorted(maps.Keys(found)) {
-		list = append(list, found[name])
+		if last != "" {
+			list = append(list, found)
+		}
 	}
 	return list
 }
 
-func (m *Machine) syncedSight(instance view.Instance, heard time.Duration, held map[string]table.Stamp, now time.Duration) takeover.Sight {
+func (m *Machine) syncedSight(instance view.Instance, heard, now time.Duration) takeover.Sight {
 	sight := takeover.Sight{Instance: instance, Heard: heard, Answered: time.Hour, Blank: now - max(m.evidence[instance.Name], m.desk.Began())}
-	for node := range m.reports {
-		one, isReported := m.reports[node][instance.Name]
+	for node, one := range m.reports[instance.Name] {
 		age := now - one.at
-		if _, isLeased := held[node]; !isLeased || !isReported || age > time.Second {
+		if age > time.Second || !m.desk.IsHeld(node, now) {
 			continue
 		}
 		answered := one.report.Answered + age
