--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,10 +18,13 @@
 	"tansyseam.example/pooler/state/view"
 )
 
-// Report is what one node sees of one instance.
+// Report is what one node sees of one instance. Of an instance of which the
+// control primary has all by an earlier ask of the same run, it holds only the
+// name, and the position where that turned.
 type Report struct {
 	Instance view.Instance
-	// Announced and Answered are how long ago.
+	// Announced, of instances that are not synced, and Answered are how long
+	// ago.
 	Announced time.Duration
 	Answered  time.Duration
 	// Placed is how long ago it was asked for the place that it then told.
@@ -51,6 +55,9 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
+	// Known numbers the tenure that has, by earlier asks, what Reports and
+	// Highs leave out; 0 says that they leave out nothing.
+	Known uint64
 	// IsDelta says that the asker takes a Doc of what was written after Have.
 	IsDelta bool
 	// IsBare says that the node holds no lease, nor will by an earlier grant.
@@ -69,6 +76,8 @@
 	Node    string
 	Reports []Report
 	Highs   map[string]view.Position
+	// Known is that of AskNews.
+	Known uint64
 }
 
 // News answers AskNews; Doc is nil where there is none newer, and only of what
@@ -81,6 +90,9 @@
 	// Held is how long the ask waited for its answer.
 	Held time.Duration
 	Doc  *view.Doc
+	// Tenure numbers the tenure that took in the ask. Where the ask left out
+	// what that one has not, nothing of it was taken in, and there is no lease.
+	Tenure uint64
 	// Roll numbers Instances, which are those that turned since the asker's
 	// roll, all of them where that is of another tenure. What is not among
 	// them may still live; what has gone is marked so.
@@ -95,6 +107,10 @@
 	ask   AskNews
 	token uint64
 	came  time.Duration
+	// run counts the tenures here when it came; isUnfit says that it left out
+	// what this tenure has not.
+	run     uint64
+	isUnfit bool
 }
 
 // Reply is an effect: the answer to the ask of a token.
@@ -124,20 +140,28 @@
 
 // Machine is the control primary's side.
 type Machine struct {
-	self        string
-	timing      lease.Timing
-	record      epoch.Record
-	table       *table.Table
-	doc         view.Doc
-	desk        *lease.Desk
-	waiters     []waiter
-	reports     map[string]map[string]reported
+	self    string
+	timing  lease.Timing
+	record  epoch.Record
+	table   *table.Table
+	doc     view.Doc
+	desk    *lease.Desk
+	waiters []waiter
+	// reports are by instance and node, reportsOn names the instances of each
+	// database among them, and told is when a node last brought any.
+	reports   map[string]map[string]reported
+	reportsOn map[string]map[string]bool
+	told      map[string]time.Duration
+	// isWhole says of which nodes this tenure has all that they told.
+	isWhole     map[string]bool
 	highs       map[string]view.Position
 	shows       map[string]uint64
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
 	tenure      string
+	number      uint64
+	runs        uint64
 	isEnrolling map[string]bool
 	inherited   table.Stamp
 	// from is the epoch in which this tenure began, and first the stamp of the
@@ -149,7 +173,7 @@
 	roll     map[string]listed
 	rollNo   uint64
 	births   map[string]lives
-	leased   map[string]bool
+	lapses   uint64
 	evidence map[string]time.Duration
 	event    uint64
 	covered  map[string]uint64
@@ -168,8 +192,10 @@
 func (m *Machine) clear(now time.Duration) {
 	m.desk = lease.NewDesk(m.timing, m.known(), now)
 	m.isEnrolling = map[string]bool{}
-	m.tenure = ""
-	m.reports = map[string]map[string]reported{}
+	m.tenure, m.number = "", 0
+	m.runs++
+	m.reports, m.reportsOn = map[string]map[string]reported{}, map[string]map[string]bool{}
+	m.told, m.isWhole = map[string]time.Duration{}, map[string]bool{}
 	m.highs = map[string]view.Position{}
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
@@ -219,7 +245,7 @@
 			for _, node := range names {
 				delete(m.isEnrolling, node)
 				if !m.isKnown(node) {
-					m.desk.Forget(node)
+					m.forget(node)
 				}
 			}
 		},
@@ -228,6 +254,16 @@
 
 const forget = 2 * time.Minute
 
+func (m *Machine) forget(node string) {
+	m.desk.Forget(node)
+	delete(m.told, node)
+	delete(m.isWhole, node)
+	delete(m.shows, node)
+	for _, by := range m.reports {
+		delete(by, node)
+	}
+}
+
 // Turn takes an epoch record; it gives true when this machine has become
 // primary, with nothing known of what an earlier one gave out.
 func (m *Machine) Turn(record epoch.Record, held *table.Table, now time.Duration) bool {
@@ -282,35 +318,74 @@
 
 // Ask takes an ask; it is answered by Flush.
 func (m *Machine) Ask(ask AskNews, token uint64, now time.Duration) {
-	if ask.Kind == view.KindData {
+	isUnfit := ask.Known != 0 && (ask.Known != m.number || !m.isWhole[ask.Node])
+	if ask.Kind == view.KindData && !isUnfit {
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
 		m.desk.OnAsk(ask.Node, ask.Have, now)
 		if ask.IsBare && !isLate && ask.Birth != 0 {
 			m.desk.OnBare(ask.Node, now)
 		}
-		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
+		if !isLate {
+			m.isWhole[ask.Node] = true
+			m.gather(ask.Node, ask.Reports, true, now)
+		}
+		m.raise(ask.Highs)
 		m.shows[ask.Node] = ask.Shows
 	}
-	m.waiters = append(m.waiters, waiter{ask: ask, token: token, came: now})
+	m.waiters = append(m.waiters, waiter{ask: ask, token: token, came: now, run: m.runs, isUnfit: isUnfit})
 }
 
-// Gather takes in what a node sees.
+// Gather takes in what a node sees, told beside its asks.
 func (m *Machine) Gather(told Told, now time.Duration) {
-	held := m.reports[told.Node]
-	if held == nil {
-		held = map[string]reported{}
-		m.reports[told.Node] = held
-	}
-	for _, report := range told.Reports {
-		held[report.Instance.Name] = reported{report: report, at: now}
+	m.gather(told.Node, told.Reports, false, now)
+	m.raise(told.Highs)
+}
+
+func (m *Machine) gather(node string, reports []Report, isAsk bool, now time.Duration) {
+	for _, report := range reports {
+		base, isHeld := m.reports[report.Instance.Name][node]
+		isBrief := report.Instance.Database == ""
+		if isBrief && !isHeld {
+			continue
+		}
+		if isBrief || (isHeld && !isAsk && report.Instance.IsSynced) {
+			report.Instance = with(base.report.Instance, report.Instance)
+		}
+		m.note(node, report, now)
 		m.noteEvidence(report, now)
 	}
-	for name, high := range told.Highs {
+}
+
+// with gives the instance that a node had told of, at the place that it tells
+// now. What comes beside the asks may come late, so the rest stays as the
+// node's asks have it, which later ones build on.
+func with(before, brief view.Instance) view.Instance {
+	if brief.Position != (view.Position{}) {
+		before.Position = brief.Position
+	}
+	return before
+}
+
+func (m *Machine) raise(highs map[string]view.Position) {
+	for name, high := range highs {
 		m.highs[name] = m.highs[name].Later(high)
 	}
 }
 
+func (m *Machine) note(node string, report Report, now time.Duration) {
+	name, database := report.Instance.Name, report.Instance.Database
+	if m.reports[name] == nil {
+		m.reports[name] = map[string]reported{}
+	}
+	if m.reportsOn[database] == nil {
+		m.reportsOn[database] = map[string]bool{}
+	}
+	m.reports[name][node] = reported{report: report, at: now}
+	m.reportsOn[database][name] = true
+	m.told[node] = now
+}
+
 func (m *Machine) room(wall int64) time.Duration {
 	if len(m.catchUp(wall)) > 0 {
 		return 0
@@ -336,6 +411,11 @@
 	var replies []Reply
 	var kept []waiter
 	for _, held := range m.waiters {
+		if isPrimary && (held.isUnfit || held.run != m.runs) {
+			m.tenureOf(wall)
+			replies = append(replies, Reply{held.token, News{IsPrimary: true, Record: m.record, Wall: wall, Held: now - held.came, Tenure: m.number}})
+			continue
+		}
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
 		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
@@ -345,6 +425,8 @@
 		}
 		news := News{IsPrimary: isPrimary, Record: m.record, Wall: wall, Held: now - held.came}
 		if isPrimary {
+			m.tenureOf(wall)
+			news.Tenure = m.number
 			if isNews {
 				news.Doc = m.docSince(held.ask)
 			}
@@ -398,43 +480,29 @@
 	writer = view.CloneWriter(writer)
 	writer.High = writer.High.Later(m.highs[database])
 	at := failover.Case{Database: database, Writer: writer, IsKnown: isKnown, Wall: wall, Age: now - m.desk.Began()}
-	held := m.desk.Held(now)
-	for name := range m.reports {
-		if _, isLeased := held[name]; isLeased && m.isFresh(name, now) {
+	for name, told := range m.told {
+		if now-told < time.Second && m.desk.IsHeld(name, now) {
 			at.Asked++
 		}
 	}
 	for _, one := range heard {
 		if one.Instance.Database == database {
-			at.Sights = append(at.Sights, m.sight(one, held, now))
+			at.Sights = append(at.Sights, m.sight(one, now))
 		}
 	}
 	m.settle(&at, now)
 	return at
 }
 
-func (m *Machine) isFresh(node string, now time.Duration) bool {
-	for _, one := range m.reports[node] {
-		if now-one.at < time.Second {
-			return true
-		}
-	}
-	return false
-}
-
 const never = time.Hour
 
-func (m *Machine) sight(heard Heard, held map[string]table.Stamp, now time.Duration) failover.Sight {
+func (m *Machine) sight(heard Heard, now time.Duration) failover.Sight {
 	sight := failover.Sight{Instance: heard.Instance, Heard: now - heard.At, Placed: never}
 	told := sight.Heard
-	var nodes []string
-	for node := range m.reports {
-		nodes = append(nodes, node)
-	}
-	slices.Sort(nodes)
-	for _, node := range nodes {
-		one, isReported := m.reports[node][heard.Instance.Name]
-		if _, isLeased := held[node]; !isLeased || !isReported || now-one.at > time.Second {
+	reports := m.reports[heard.Instance.Name]
+	for _, node := range slices.Sorted(maps.Keys(reports)) {
+		one := reports[node]
+		if now-one.at > time.Second || !m.desk.IsHeld(node, now) {
 			continue
 		}
 		sight.Asked++
@@ -580,6 +648,9 @@
 }
 
 func (m *Machine) catchUp(wall int64) []view.Set {
+	if !slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return set.Moment > wall }) {
+		return nil
+	}
 	shown := uint64(0)
 	for _, sequence := range m.shows {
 		shown = max(shown, sequence)
@@ -640,11 +711,14 @@
 // behind, if there are any.
 func (m *Machine) Tidy(wall int64, now time.Duration) (Write, bool) {
 	lowest := m.doc.Effective(wall).Sequence
+	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
+	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
+		return Write{}, false
+	}
 	for node := range m.desk.Held(now) {
 		lowest = min(lowest, m.shows[node])
 	}
-	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
-	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
+	if m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
 	m.isTidy = true
