Tell the length of every answer at the HTTP door, so that bodies keep apart

Cause: the door wrote answers without a length, so the library (nbio v1.6.8, nbhttp, Response.writeChunk) sent them in chunks. Where the head is still cached and head and body come to 64 KiB, writeChunk frees the cached buffer, then appends the body to it and frees it again. The buffer is in the pool twice; two owners get it, and one reads the other's body. Client and door of a process share that pool, so a caller's body could become an instance's answer.

Ruled out: our reading of bodies (io.ReadAll copies before the library takes a body back, on both sides); a response body closed by us and by the library (the second close does nothing, and the reader is given back once); sessions closed with an answer on the way (the answer is dropped, its body released once; the order of handlers holds); the parser's cached half packet; writes that wait (they are copied). All read in the library and played by the test.

Change: the door sets Content-Length at the one Write of an answer.

Tests: TestBodiesKeepApart, new, seen failing first: answers from 0 to 200000 bytes, and 40 sessions at once with some closed on the way. It needs no luck, since the allocator notes the fault itself and gives no buffer twice.

--- a/pooler/transport/web/web.go
+++ b/pooler/transport/web/web.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 // ends, by its remote address.
 func OpenDoor(address string, handler http.Handler, onGone func(remote string)) (*Door, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Addrs: []string{address}, Handler: handler, NPoller: 2,
+		Network: "tcp", Addrs: []string{address}, Handler: sized(handler), NPoller: 2,
 		MaxHTTPBodySize: MaxBody * 2, KeepaliveTime: 10 * time.Minute, ReleaseWebsocketPayload: true,
 	})
 	if onGone != nil {
@@ -48,6 +49,23 @@
 	return &Door{engine: engine}, nil
 }
 
+// whole is an answer that is written in one go, with its length told: one in
+// chunks, of 64 KiB and more, has the library give a buffer back that it goes
+// on using, and then once more, and two answers or bodies share it.
+type whole struct{ http.ResponseWriter }
+
+// Write tells the length and writes the body.
+func (w whole) Write(data []byte) (int, error) {
+	if w.Header().Get("Content-Length") == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+func sized(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(whole{w}, r) })
+}
+
 // Close shuts the door.
 func (d *Door) Close() { d.engine.Stop() }
 
--- /dev/null
+++ b/pooler/transport/web/web_test.go
@@ -0,0 +1,172 @@
+package web
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/mempool"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/transport/run"
+)
+
+// ledger is an allocator that gives no buffer twice, and notes each one that
+// is freed more than once, or changed after it was freed.
+type ledger struct {
+	mutex   sync.Mutex
+	isFreed map[*[]byte]bool
+	faults  []string
+}
+
+func (l *ledger) Malloc(size int) *[]byte {
+	buffer := make([]byte, size, max(size, 1024))
+	return &buffer
+}
+
+func (l *ledger) Realloc(buffer *[]byte, size int) *[]byte {
+	panic("deprecated: nothing calls it")
+}
+
+func (l *ledger) Append(buffer *[]byte, more ...byte) *[]byte {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.isFreed[buffer] {
+		l.faults = append(l.faults, fmt.Sprintf("%d bytes appended to a buffer that was freed", len(more)))
+	}
+	*buffer = append(*buffer, more...)
+	return buffer
+}
+
+func (l *ledger) AppendString(buffer *[]byte, more string) *[]byte {
+	return l.Append(buffer, []byte(more)...)
+}
+
+func (l *ledger) Free(buffer *[]byte) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.isFreed[buffer] {
+		l.faults = append(l.faults, "a buffer freed twice")
+	}
+	l.isFreed[buffer] = true
+}
+
+func (l *ledger) found() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.faults
+}
+
+func keepLedger() (*ledger, func()) {
+	held, before := &ledger{isFreed: map[*[]byte]bool{}}, mempool.DefaultMemPool
+	mempool.DefaultMemPool = held
+	return held, func() { mempool.DefaultMemPool = before }
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// echo answers with the body, repeated as often as the path says.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, isWhole := ReadBody(r)
+	if !isWhole {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	count := 0
+	_, _ = fmt.Sscanf(r.URL.Path, "/%d", &count)
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(bytes.Repeat(body, count))
+}
+
+func TestBodiesKeepApart(t *testing.T) {
+	held, restore := keepLedger()
+	defer restore()
+	address := freeAddress(t)
+	opened, err := OpenDoor(address, http.HandlerFunc(echo), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer opened.Close()
+	crew := run.NewCrew()
+	defer crew.Stop(5 * time.Second)
+	client, err := NewClient("127.0.0.1", crew)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ask := func(body string, count int) Answer {
+		session, err := client.Dial(address, 5*time.Second, nil)
+		if err != nil {
+			return Answer{Err: err}
+		}
+		defer session.Close()
+		return session.Ask(fmt.Sprintf("/%d", count), []byte(body), 20*time.Second)
+	}
+	Convey("An answer of any size arrives whole with its length told, and each buffer is given back once", t, func() {
+		var lengths []int64
+		for _, size := range []int{0, 1, 500, 1024, 40000, 65000, 65300, 65530, 65536, 70000, 200000} {
+			answer := ask(strings.Repeat("x", 100), size/100)
+			So(answer.Err, ShouldBeNil)
+			So(len(answer.Body), ShouldEqual, size/100*100)
+			response, err := http.Post("http://"+address+fmt.Sprintf("/%d", size), "text/plain", strings.NewReader("y"))
+			So(err, ShouldBeNil)
+			data, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			So(err, ShouldBeNil)
+			So(string(data), ShouldEqual, strings.Repeat("y", size))
+			lengths = append(lengths, response.ContentLength-int64(size))
+		}
+		So(held.found(), ShouldBeEmpty)
+		So(lengths, ShouldResemble, make([]int64, len(lengths)))
+	})
+	Convey("Many sessions, large and small, some of them closed with an answer on its way: nobody reads another's body", t, func() {
+		var group sync.WaitGroup
+		wrong := make(chan string, 1000)
+		for at := range 40 {
+			group.Add(1)
+			crew.Go(func() {
+				defer group.Done()
+				for turn := range 10 {
+					body := fmt.Sprintf("<%d.%d>", at, turn)
+					count := []int{1, 30, 2000, 30000}[(at+turn)%4]
+					session, err := client.Dial(address, 5*time.Second, nil)
+					if err != nil {
+						wrong <- err.Error()
+						continue
+					}
+					if at%5 == 0 {
+						session.Do(fmt.Sprintf("/%d", count), []byte(body), func(Answer) {})
+						session.Close()
+						continue
+					}
+					for range 3 {
+						answer := session.Ask(fmt.Sprintf("/%d", count), []byte(body), 20*time.Second)
+						if answer.Err != nil || string(answer.Body) != strings.Repeat(body, count) {
+							wrong <- fmt.Sprintf("%s: %v, %.40s", body, answer.Err, answer.Body)
+						}
+					}
+					session.Close()
+				}
+			})
+		}
+		group.Wait()
+		close(wrong)
+		for one := range wrong {
+			So(one, ShouldBeEmpty)
+		}
+		So(held.found(), ShouldBeEmpty)
+	})
+}
