Ask for news through a peer of the node's own kind, which passes it on

Cause: an ask that the control primary did not answer goes through a watched peer next. The watched are of either kind, and a control machine has no handler for an ask to be passed on: nothing came back for 750 ms. After a loss of all machines, when the first ask rides on a dial to a machine still down, that held the moment of the set taken just before, and with it all leases.

Ruled out: primacy and disks; asks that came between winning an epoch and taking it up; lost packets.

Change: member.Fellows gives nodes of the own kind, best the watched ones.

Tests: TestMembership, 'the fellows of a node are of its kind', seen failing with watched nodes of either kind.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -218,11 +218,11 @@
 	return n.members.Standing(name), n.members.Silence(name, n.Now())
 }
 
-// Watched names the nodes that this one watches.
-func (n *Node) Watched() []string {
+// Fellows gives nodes of this one's kind, best those that it watches.
+func (n *Node) Fellows() []view.Node {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.members.Watched()
+	return n.members.Fellows()
 }
 
 const foundFor = 100 * time.Millisecond
--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -9,7 +9,7 @@
 	"tansyseam.example/pooler/protocol/msg"
 )
 
-// ErrNoPeer says that no watched peer is known.
+// ErrNoPeer says that no peer that passes asks on is known.
 const ErrNoPeer = errors.ConstError("no such peer")
 
 // Seeker is how one node's asks for news have gone lately.
@@ -20,8 +20,8 @@
 }
 
 // AskNews asks the control primary, or whoever may know it, for news. After an
-// ask that nobody answered every second one goes through a watched peer, in
-// case only the way to the primary is cut.
+// ask that nobody answered every second one goes through a peer of this
+// node's kind, in case only the way to the primary is cut.
 func (n *Node) AskNews(ask steer.AskNews, seeker *Seeker, bound time.Duration) (steer.News, bool) {
 	primary, nodes := n.Primary()
 	if primary == "" && len(nodes) == 0 {
@@ -55,14 +55,11 @@
 }
 
 func (n *Node) askThrough(ask steer.AskNews, silent int, bound time.Duration) (any, error) {
-	watched := n.Watched()
-	if len(watched) == 0 {
-		return nil, ErrNoPeer
-	}
-	peer, isKnown := n.Find(watched[silent/2%len(watched)])
-	if !isKnown {
+	fellows := n.Fellows()
+	if len(fellows) == 0 {
 		return nil, ErrNoPeer
 	}
+	peer := fellows[silent/2%len(fellows)]
 	ask.Via = peer.Name
 	n.Counts.Add("news_through_peer", 1)
 	return n.Hub.Call(peer.Link, msg.PassNews{Ask: ask}, bound)
--- a/pooler/coordination/member/member.go
+++ b/pooler/coordination/member/member.go
@@ -192,6 +192,28 @@
 	return m.watched
 }
 
+// Fellows gives the live nodes of this one's kind that it watches, or, where
+// it watches none, all that live.
+func (m *Machine) Fellows() []view.Node {
+	isWatched := map[string]bool{}
+	for _, name := range m.Watched() {
+		isWatched[name] = true
+	}
+	var watched, live []view.Node
+	for _, node := range m.Nodes(IsLive) {
+		if node.Name != m.self.Name && node.Kind == m.self.Kind {
+			live = append(live, node)
+			if isWatched[node.Name] {
+				watched = append(watched, node)
+			}
+		}
+	}
+	if len(watched) == 0 {
+		return live
+	}
+	return watched
+}
+
 func (m *Machine) names() []string {
 	names := []string{m.self.Name}
 	for name, other := range m.peers {
--- a/pooler/coordination/member/member_test.go
+++ b/pooler/coordination/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,12 @@
 	t.order = append(t.order, name)
 }
 
+func (t *town) is(kind string, names ...string) {
+	for _, name := range names {
+		t.members[name].self.Kind = kind
+	}
+}
+
 func (t *town) deliver(from string, effects []any) {
 	for _, effect := range effects {
 		send, isSend := effect.(Send)
@@ -154,6 +161,34 @@
 			So(len(town.members[name].suspicions), ShouldEqual, 0)
 		}
 	})
+	Convey("The fellows of a node are of its kind: watched ones where there are any, else all that live", t, func() {
+		control := []string{"n00", "n01", "n02", "n03", "n04"}
+		town := newTown(11)
+		town.is(view.KindControl, control...)
+		town.pass(4 * time.Second)
+		for _, name := range town.order {
+			one := town.members[name]
+			watched, fellows := one.Watched(), one.Fellows()
+			So(len(fellows), ShouldBeGreaterThan, 0)
+			for _, fellow := range fellows {
+				So(fellow.Kind, ShouldEqual, one.Self().Kind)
+				So(fellow.Name, ShouldNotEqual, name)
+			}
+			isAlike := func(other string) bool { return slices.Contains(control, other) == slices.Contains(control, name) }
+			count := len(slices.DeleteFunc(slices.Clone(watched), func(other string) bool { return !isAlike(other) }))
+			if count == 0 {
+				count = len(control) - 1
+				if !slices.Contains(control, name) {
+					count = len(town.order) - len(control) - 1
+				}
+			}
+			So(len(fellows), ShouldEqual, count)
+		}
+		lone := newTown(3)
+		lone.is(view.KindControl, "n01", "n02")
+		lone.pass(4 * time.Second)
+		So(lone.members["n00"].Fellows(), ShouldBeEmpty)
+	})
 	Convey("Two halves that held each other dead find one another soon after the cut between them is over", t, func() {
 		town := newTown(14)
 		town.pass(4 * time.Second)
