--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -8,11 +8,10 @@
 
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
-	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 )
 
-// ErrNoPeer says that no watched data-plane peer is known.
+// ErrNoPeer says that no peer that passes asks on is known.
 const ErrNoPeer = errors.ConstError("no such peer")
 
 // Seeker is how one node's asks for news have gone lately.
@@ -23,7 +22,7 @@
 }
 
 // AskNews asks the control primary, or whoever may know it, for news. After an
-// ask that nobody answered the next goes through a watched peer as well, in
+// ask that nobody answered the next goes through a peer of its kind as well, in
 // case only the way to the primary is cut. It ends as soon as another control
 // primary is heard of.
 func (n *Node) AskNews(ask steer.AskNews, seeker *Seeker, bound time.Duration) (steer.News, bool) {
@@ -86,16 +85,11 @@
 }
 
 func (n *Node) askThrough(ask steer.AskNews, silent int, bound time.Duration) (any, error) {
-	var peers []view.Node
-	for _, name := range n.Watched() {
-		if peer, isKnown := n.Find(name); isKnown && peer.Kind == view.KindData {
-			peers = append(peers, peer)
-		}
-	}
-	if len(peers) == 0 {
+	fellows := n.Fellows()
+	if len(fellows) == 0 {
 		return nil, ErrNoPeer
 	}
-	peer := peers[silent%len(peers)]
+	peer := fellows[silent%len(fellows)]
 	ask.Via = peer.Name
 	n.Counts.Add("news_through_peer", 1)
 	return n.Hub.Call(peer.Link, msg.PassNews{Ask: ask}, bound)
--- a/pooler/cmd/fleet/news_test.go
+++ b/pooler/cmd/fleet/news_test.go
@@ -105,7 +105,8 @@
 					answer(steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}})
 				}
 			})
-			So(a.Watched(), ShouldContain, "d2")
+			So(len(a.Fellows()), ShouldEqual, 1)
+			So(a.Fellows()[0].Name, ShouldEqual, "d2")
 			seeker := &Seeker{Misses: 1, Silent: 1}
 			isGood, isOver := run.Take(a.askNews(seeker, time.Hour), time.After(time.Minute))
 			So(isOver, ShouldBeTrue)
