Let fleets of the scale run speak the platform's manner

The fleets used none of what the users' platform uses: no manifests by version, no roll of instances, no synced databases and their takeover. What those cost was not known.

Change: a size with @lines behind it is a fleet in the platform's manner. Its instances are the stand-ins of the line protocol: each beats to one control machine and tells its position with every answer. The operator's changes are manifests by version, the promote call is the platform's. Hollow nodes ask with the machine of the line path; as they carry no statements, their reports say that each live primary has just answered and that one which was ended refuses. What surrounds a fleet is behind one interface, so that both manners are put through the same steps.

Test: the small fleet runs in both manners with the same checks.

--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -23,7 +23,7 @@
 const defaultSizes = "12x10,30x10,60x10,100x10,300x10,30x20,30x30,30x40,30x100,100x10//24,300x10//24,600x10//24,930x10//24,100x100/1/24,300x100/1/24,930x1900/1/24"
 
 func measure() int {
-	sizes := flag.String("sizes", defaultSizes, "fleets, as NODESxDATABASES/HOMES/KNOWN, with commas between; none for none")
+	sizes := flag.String("sizes", defaultSizes, "fleets, as NODESxDATABASES/HOMES/KNOWN, with @lines behind for synced instances and manifests, with commas between; none for none")
 	most := flag.Int("most", 100000, "largest size at which a machine is measured alone; 0 for none")
 	disks := flag.Int("disks", 3, "control machines of a fleet")
 	cores := flag.Int("cores", 3, "cores of the hollow nodes")
@@ -109,6 +109,7 @@
 			continue
 		}
 		size := scale.Size{}
+		one, size.IsLined = strings.CutSuffix(one, "@lines")
 		counts := strings.Split(strings.Replace(one, "x", "/", 1), "/")
 		for at, into := range []*int{&size.Nodes, &size.Databases, &size.Homes, &size.Known} {
 			if at >= len(counts) || (at > 1 && counts[at] == "") {
--- /dev/null
+++ b/proof/lines/session.go
@@ -0,0 +1,66 @@
+package lines
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+// Session is one client session that reads and notes nothing, for load alone.
+type Session struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	count  int
+}
+
+// Dial opens one at a node for a host.
+func Dial(address, host, who string) (*Session, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	s := &Session{conn: conn, reader: bufio.NewReaderSize(conn, 512)}
+	if err := s.ask("CONNECT " + host + " " + who); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Read reads one thing.
+func (s *Session) Read(thing string) error {
+	s.count++
+	return s.ask(fmt.Sprintf("QUERY q%d FETCH %s", s.count, thing))
+}
+
+// Write writes one thing.
+func (s *Session) Write(thing string) error {
+	s.count++
+	return s.ask(fmt.Sprintf("QUERY q%d PUT %s x", s.count, thing))
+}
+
+// Close ends it.
+func (s *Session) Close() { _ = s.conn.Close() }
+
+func (s *Session) ask(line string) error {
+	_ = s.conn.SetDeadline(time.Now().Add(answerBound))
+	if _, err := s.conn.Write([]byte(line + "\r\n")); err != nil {
+		return err
+	}
+	var fault error
+	for {
+		line, err := s.reader.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		word, tail, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
+		if word == "ERROR" {
+			fault = fmt.Errorf("%s", tail)
+		}
+		if word == "READY" {
+			return fault
+		}
+	}
+}
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,6 +8,7 @@
 
 	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/member"
+	"tansyseam.example/pooler/coordination/pool"
 	"tansyseam.example/pooler/coordination/rendezvous"
 	"tansyseam.example/pooler/coordination/serve"
 	"tansyseam.example/pooler/coordination/steer"
@@ -30,10 +30,11 @@
 	mutex    sync.Mutex
 	self     view.Node
 	serve    *serve.Machine
+	pool     *pool.Machine
 	primary  string
 	isCut    bool
 	shownAt  map[uint64]time.Time
-	openAt   map[string]time.Time
+	openAt   map[uint64]time.Time
 	began    time.Time
 	leasedAt time.Time
 	unleased time.Duration
@@ -41,7 +42,7 @@
 }
 
 type herd struct {
-	world *world
+	world outside
 	seeds []string
 	known int
 
@@ -72,7 +73,7 @@
 	at   time.Time
 }
 
-func newHerd(w *world, seeds []string, known int) *herd {
+func newHerd(w outside, seeds []string, known int) *herd {
 	msg.Register()
 	return &herd{world: w, seeds: seeds, known: known, reals: map[string]view.Node{}, realsAt: map[string]time.Time{}, down: map[string]downed{}, watches: map[string][]string{}, fed: map[string]int64{}, alike: map[string]bool{}, began: time.Now()}
 }
@@ -83,7 +84,11 @@
 		self: view.Node{
 			Name: name, Kind: view.KindData, Zone: zone, Link: address, Door: address, Birth: time.Now().UnixNano(), Version: link.Version, Weight: 1,
 		},
-		serve: serve.New(name, lease.DefaultTiming()), shownAt: map[uint64]time.Time{}, openAt: map[string]time.Time{}, began: time.Now(),
+		serve: serve.New(name, lease.DefaultTiming()), shownAt: map[uint64]time.Time{}, openAt: map[uint64]time.Time{}, began: time.Now(),
+	}
+	if _, isLined := h.world.(*lined); isLined {
+		node.pool = pool.New(pool.Place{Name: name, Zone: zone, Birth: node.self.Birth, Beta: 1}, pool.DefaultTiming(), lease.DefaultTiming(), func(string, int64) {})
+		node.serve = node.pool.Serve()
 	}
 	node.hub = link.New(name, address, node.crew, node.counts, node.hear)
 	return node, node.hub.Listen()
@@ -347,18 +352,10 @@
 	if n.isBarred(address) {
 		return false
 	}
-	live := n.herd.world.live()
-	n.mutex.Lock()
-	for _, instance := range live {
-		if n.homes == nil || n.homes[instance.Database] {
-			n.serve.Announced(instance, n.now())
-		}
-	}
-	ask := n.serve.Ask(n.now(), nil)
-	n.mutex.Unlock()
+	ask := n.ask()
 	sent := n.now()
 	n.herd.asks.Add(1)
-	reply, err := n.hub.Call(address, ask, 600*time.Millisecond)
+	reply, err := n.hub.Call(address, ask, n.patience())
 	news, isOne := reply.(steer.News)
 	if err != nil || !isOne || n.isBarred(address) {
 		n.herd.misses.Add(1)
@@ -370,10 +367,55 @@
 	if !news.IsPrimary {
 		return false
 	}
+	if n.pool != nil {
+		n.pool.Took(news, sent, n.now())
+		n.pool.Effects()
+		return true
+	}
 	n.serve.Take(news, sent, n.now())
 	return true
 }
 
+// patience is how long the product waits for an answer to an ask.
+func (n *hollow) patience() time.Duration {
+	if n.pool != nil {
+		return 750 * time.Millisecond
+	}
+	return 600 * time.Millisecond
+}
+
+func (n *hollow) ask() steer.AskNews {
+	if n.pool != nil {
+		return n.askLined()
+	}
+	live := n.herd.world.live()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, instance := range live {
+		if n.homes == nil || n.homes[instance.Database] {
+			n.serve.Announced(instance, n.now())
+		}
+	}
+	return n.serve.Ask(n.now(), nil)
+}
+
+// askLined asks as a node that has traffic would: each primary that lives has
+// just answered, one that was ended refuses connections.
+func (n *hollow) askLined() steer.AskNews {
+	n.mutex.Lock()
+	ask := n.pool.Ask(n.now())
+	n.mutex.Unlock()
+	outside := n.herd.world.(*lined)
+	for at := range ask.Reports {
+		one := &ask.Reports[at]
+		one.Answered, one.Refused = 0, 0
+		if since, isDown := outside.downSince(one.Instance.Name); isDown {
+			one.Answered, one.Refused = time.Since(since), 2
+		}
+	}
+	return ask
+}
+
 func (n *hollow) look(at time.Time) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -393,10 +435,8 @@
 	if set, _ := n.serve.Effective(now); n.shownAt[set.Sequence].IsZero() {
 		n.shownAt[set.Sequence] = at
 	}
-	writer := n.serve.Writer(databaseName(0))
-	key := fmt.Sprintf("%d/%s", writer.Term, writer.Phase)
-	if n.openAt[key].IsZero() {
-		n.openAt[key] = at
+	if writer := n.serve.Writer(databaseName(0)); writer.Phase == view.PhaseOpen && n.openAt[writer.Term].IsZero() {
+		n.openAt[writer.Term] = at
 	}
 }
 
--- a/proof/scale/real.go
+++ b/proof/scale/real.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"tansyseam.example/platform"
 	"tansyseam.example/pooler/cmd/control"
 	product "tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/cmd/settings"
@@ -38,6 +39,12 @@
 		if kind == view.KindControl {
 			args = append(args, "--data", place.Data, "--disks", fmt.Sprint(place.Disks), "--platform", place.Platform)
 		}
+		if place.Manner != "" {
+			args = append(args, "--manner", place.Manner)
+		}
+		if place.Sessions != "" {
+			args = append(args, "--sessions", place.Sessions)
+		}
 		made := &real{name: place.Name, kind: kind, zone: place.Zone, link: place.Link, door: place.Door}
 		made.process = &fleet.Process{Name: place.Name, Program: filepath.Join(bin, kind), Args: args, Link: place.Link, Door: place.Door}
 		return made, made.process.Start(folder)
@@ -61,13 +68,23 @@
 		return nil, err
 	}
 	made.inside = node
-	program, err := control.OpenOn(node, place, disk, func(error) {}, nil)
+	var seams *control.Seams
+	begin := func() error { return nil }
+	if place.Manner == settings.MannerPlatform {
+		node.Translate = platform.Translate
+		orders := control.NewOrders(node.Crew, platform.Codec(), place.Name)
+		seams, begin = &control.Seams{Order: orders.Give, Promote: control.Promoter(node, platform.Promote)}, orders.Start
+	}
+	program, err := control.OpenOn(node, place, disk, func(error) {}, seams)
 	if err != nil {
 		return nil, err
 	}
 	if err := node.Start(); err != nil {
 		return nil, err
 	}
+	if err := begin(); err != nil {
+		return nil, err
+	}
 	program.Start()
 	return made, nil
 }
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -17,26 +17,28 @@
 }
 
 func TestSmallFleet(t *testing.T) {
-	Convey("Hollow nodes beside real control machines follow a change, a promotion, a restart, a cut and a loss", t, func() {
-		size := Size{Nodes: 12, Databases: 4, Disks: 3, Steady: 500 * time.Millisecond, Patience: 2 * time.Minute}
-		result := RunInside(size)
-		So(result.Fault, ShouldBeEmpty)
-		So(result.IsSettled, ShouldBeTrue)
-		counts := map[string]int64{}
-		for _, event := range result.Events {
-			counts[event.Name] = event.Count
-		}
-		SoMsg("writes of a change, each sent to each node", counts[EventChange], ShouldBeBetweenOrEqual, 2, 8)
-		SoMsg("promote calls", counts[EventPrimary], ShouldEqual, 1)
-		SoMsg("control machines cut off, which refuse", counts[EventRefused], ShouldEqual, 1)
-		SoMsg("nodes that hold: those without most control machines on their side", counts[EventHeld], ShouldEqual, 6)
-		SoMsg("nodes that go on", counts[EventElsewhere], ShouldEqual, 6)
-		SoMsg("nodes that catch up", counts[EventHealed], ShouldEqual, 6)
-		for _, name := range []string{EventRestart, EventLoss, EventStep} {
-			_, isTold := result.Event(name)
-			SoMsg(name, isTold, ShouldBeTrue)
-		}
-	})
+	for _, size := range []Size{{Nodes: 12, Databases: 4}, {Nodes: 12, Databases: 4, IsLined: true}} {
+		Convey("Hollow nodes beside real control machines follow a change, a promotion, a restart, a cut and a loss; stood in: "+size.partOf(), t, func() {
+			size.Disks, size.Steady, size.Patience = 3, 500*time.Millisecond, 2*time.Minute
+			result := RunInside(size)
+			So(result.Fault, ShouldBeEmpty)
+			So(result.IsSettled, ShouldBeTrue)
+			counts := map[string]int64{}
+			for _, event := range result.Events {
+				counts[event.Name] = event.Count
+			}
+			SoMsg("writes of a change, each sent to each node", counts[EventChange], ShouldBeBetweenOrEqual, 2, 8)
+			SoMsg("promote calls", counts[EventPrimary], ShouldEqual, 1)
+			SoMsg("control machines cut off, which refuse", counts[EventRefused], ShouldEqual, 1)
+			SoMsg("nodes that hold: those without most control machines on their side", counts[EventHeld], ShouldEqual, 6)
+			SoMsg("nodes that go on", counts[EventElsewhere], ShouldEqual, 6)
+			SoMsg("nodes that catch up", counts[EventHealed], ShouldEqual, 6)
+			for _, name := range []string{EventRestart, EventLoss, EventStep} {
+				_, isTold := result.Event(name)
+				SoMsg(name, isTold, ShouldBeTrue)
+			}
+		})
+	}
 }
 
 func figureAt(take func(int) (Figure, error), size int) Figure {
--- a/proof/scale/statements.go
+++ b/proof/scale/statements.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tansyseam.example/pooler/transport/run"
+	"tansyseam.example/proof/lines"
 )
 
 const (
@@ -17,11 +18,46 @@
 	lanes          = 8
 )
 
+// reader is one client session at the real node.
+type reader interface {
+	read() error
+	close()
+}
+
 type session struct {
 	client *http.Client
+	door   string
 	id     string
 }
 
+func (s session) read() error {
+	var told map[string]any
+	return s.call(s.door, "/v1/statement", map[string]any{"session": s.id, "kind": "read", "text": "select 1"}, &told)
+}
+
+func (s session) close() { s.client.CloseIdleConnections() }
+
+type lineSession struct{ held *lines.Session }
+
+func (s lineSession) read() error { return s.held.Read("t1") }
+
+func (s lineSession) close() { s.held.Close() }
+
+func (t *Trial) openReader(number int) (reader, error) {
+	binding := "use-" + databaseName(1+number%min(t.size.Databases-1, mostBindings-1))
+	if t.size.IsLined {
+		held, err := lines.Dial(t.places[probeName].Sessions, binding, fmt.Sprintf("u%d", number))
+		return lineSession{held}, err
+	}
+	one := session{door: t.probe.door, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 1}}}
+	var told struct {
+		Session string `json:"session"`
+	}
+	err := one.call(t.probe.door, "/v1/session/open", map[string]any{"binding": binding}, &told)
+	one.id = told.Session
+	return one, err
+}
+
 func (s session) call(door, path string, body any, into any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -56,17 +92,13 @@
 	if err != nil {
 		return err
 	}
-	var sessions []session
+	var sessions []reader
 	for number := range sessionsOpened {
-		one := session{client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 1}}}
-		var told struct {
-			Session string `json:"session"`
-		}
-		binding := "use-" + databaseName(1+number%min(t.size.Databases-1, mostBindings-1))
-		if err := one.call(t.probe.door, "/v1/session/open", map[string]any{"binding": binding}, &told); err != nil {
+		one, err := t.openReader(number)
+		if err != nil {
 			return err
 		}
-		one.id = told.Session
+		defer one.close()
 		sessions = append(sessions, one)
 	}
 	opened, err := t.probe.usage()
@@ -79,10 +111,7 @@
 	for lane := range lanes {
 		crew.Go(func() {
 			for at := lane; !crew.IsStopping(); at += lanes {
-				one := sessions[at%len(sessions)]
-				var told map[string]any
-				body := map[string]any{"session": one.id, "kind": "read", "text": "select 1"}
-				if err := one.call(t.probe.door, "/v1/statement", body, &told); err != nil {
+				if err := sessions[at%len(sessions)].read(); err != nil {
 					failed.Add(1)
 					select {
 					case first <- err:
@@ -99,9 +128,6 @@
 	if err != nil {
 		return err
 	}
-	for _, one := range sessions {
-		one.client.CloseIdleConnections()
-	}
 	idle, _ := t.result.Role(RoleNode)
 	span := after.At.Sub(opened.At).Seconds()
 	busy := (after.Processor - opened.Processor).Seconds() - idle.Core*span
--- a/proof/scale/trial.go
+++ b/proof/scale/trial.go
@@ -35,6 +35,9 @@
 	// Known is how many hollow nodes gossip tells the real ones of; 0 for all,
 	// as the product has it.
 	Known int
+	// IsLined is the platform's manner: synced instances that speak lines, and
+	// manifests by version.
+	IsLined bool
 	// Disks is the count of control machines.
 	Disks int
 	// Steady is how long the fleet is measured while nothing happens, and
@@ -52,6 +55,9 @@
 	if s.Known > 0 {
 		text += fmt.Sprintf(" gossip of %d", s.Known)
 	}
+	if s.IsLined {
+		text += " lines"
+	}
 	return none(strings.TrimSpace(text), text != "")
 }
 
@@ -119,7 +125,7 @@
 	begin    begin
 	folder   string
 	crew     *run.Crew
-	world    *world
+	outside  outside
 	herd     *herd
 	places   map[string]settings.Settings
 	relays   map[string]*stand.Relay
@@ -141,11 +147,13 @@
 }
 
 const (
+	groupLines   = 100
 	groupWorld   = 252
 	groupControl = 253
 	groupProbe   = 254
 	linkPort     = 17001
 	doorPort     = 17002
+	wirePort     = 17004
 	relayPort    = 17003
 	mostBindings = 1000
 )
@@ -220,8 +228,8 @@
 	for _, relay := range t.relays {
 		relay.Close()
 	}
-	if t.world != nil {
-		t.world.close()
+	if t.outside != nil {
+		t.outside.close()
 	}
 }
 
@@ -245,19 +253,10 @@
 }
 
 func (t *Trial) start(hasProbe bool) error {
-	t.world = newWorld(t.size.Databases)
-	if err := t.world.open(loopback(groupWorld, 0)); err != nil {
-		return err
-	}
-	t.world.run(t.crew)
-	if err := t.openPlatform(); err != nil {
-		return err
-	}
 	hollows := t.size.Nodes
 	if hasProbe {
 		hollows--
 	}
-	t.herd = newHerd(t.world, seedsAt(linkPort), t.size.Known)
 	byZone := map[string][]string{}
 	for number := range hollows {
 		byZone[zoneOf(number)] = append(byZone[zoneOf(number)], hollowName(number))
@@ -266,6 +265,11 @@
 		byZone[zoneOf(0)] = append(byZone[zoneOf(0)], probeName)
 	}
 	homes := t.homes(byZone)
+	t.outside = t.around(homes)
+	if err := t.outside.open(t.platform); err != nil {
+		return err
+	}
+	t.herd = newHerd(t.outside, seedsAt(linkPort), t.size.Known)
 	for number := range hollows {
 		node, err := t.herd.add(hollowName(number), zoneOf(number), address(0, number, linkPort), homes[hollowName(number)])
 		if err != nil {
@@ -303,7 +307,7 @@
 			return err
 		}
 		t.set(func() { t.controls = append(t.controls, made) })
-		t.world.announce(t.crew, made.door, func(view.Instance) bool { return true })
+		t.outside.meet(made)
 	}
 	if hasProbe {
 		made, err := t.begin(t.places[probeName], view.KindData)
@@ -311,8 +315,7 @@
 			return err
 		}
 		t.set(func() { t.probe = made })
-		own := homes[probeName]
-		t.world.announce(t.crew, made.door, func(one view.Instance) bool { return own == nil || own[one.Database] })
+		t.outside.meet(made)
 	}
 	for _, node := range t.herd.nodes {
 		node.start()
@@ -332,10 +335,17 @@
 // to the process itself.
 func (t *Trial) place(name, zone string, group, number int) settings.Settings {
 	link, door := address(group, number, linkPort), address(group, number, doorPort)
-	return settings.Settings{
+	made := settings.Settings{
 		Name: name, Zone: zone, Link: link, Door: door, AdvertiseLink: address(group, number, relayPort), AdvertiseDoor: door,
 		Seeds: seedsAt(relayPort), Weight: 1, LogLevel: "warn",
 	}
+	if t.size.IsLined {
+		made.Manner = settings.MannerPlatform
+	}
+	if t.size.IsLined && group == groupProbe {
+		made.Sessions = address(group, number, wirePort)
+	}
+	return made
 }
 
 func seedsAt(port int) []string {
@@ -360,16 +370,14 @@
 	return homes
 }
 
-func (t *Trial) openPlatform() error {
-	listener, err := net.Listen("tcp", loopback(groupWorld, 1)+":0")
-	if err != nil {
-		return err
+func (t *Trial) around(homes map[string]map[string]bool) outside {
+	t.platform = address(groupWorld, 0, linkPort)
+	if t.size.IsLined {
+		return newLined(t.crew, t.size.Databases)
 	}
-	t.platform = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(t.world.promote)}
-	t.world.servers, t.world.listeners = append(t.world.servers, server), append(t.world.listeners, listener)
-	t.crew.Go(func() { _ = server.Serve(listener) })
-	return nil
+	made := newWorld(t.size.Databases)
+	made.crew, made.homes = t.crew, homes
+	return made
 }
 
 func (t *Trial) weigh() {
@@ -407,24 +415,14 @@
 	return time.Since(began), nil
 }
 
-func (t *Trial) bindings() []map[string]any {
-	var list []map[string]any
-	for number := range min(t.size.Databases, mostBindings) {
-		list = append(list, map[string]any{
-			"name": "use-" + databaseName(number), "database": databaseName(number), "freshness_ms": 1500 + t.puts,
-		})
-	}
-	return list
-}
-
 // put changes the set: the same call under the same id at one door after
 // another until it is taken, so that it counts once whatever became of it.
 func (t *Trial) put(what string) error {
 	t.puts++
-	body := map[string]any{"id": fmt.Sprintf("put-%d", t.puts), "expected": t.sequence, "bindings": t.bindings()}
+	path, body := t.outside.change(t.puts, t.sequence)
 	told := "no door answers"
 	_, err := t.until(t.size.Patience, what, func() bool {
-		sequence, why := t.putOnce(body)
+		sequence, why := t.putOnce(path, body)
 		told = why
 		if sequence > t.sequence {
 			t.sequence = sequence
@@ -438,20 +436,18 @@
 	return nil
 }
 
-func (t *Trial) putOnce(body map[string]any) (uint64, string) {
+func (t *Trial) putOnce(path string, body any) (uint64, string) {
 	for _, one := range t.controls {
 		if t.isCutOff(one) {
 			continue
 		}
-		status, raw, err := post(one.door, "/v1/bindings/put", body)
+		status, raw, err := post(one.door, path, body)
 		if err != nil {
 			continue
 		}
-		var told struct {
-			Sequence uint64 `json:"sequence"`
-		}
+		var told struct{ Sequence, Version uint64 }
 		if status == http.StatusOK && json.Unmarshal(raw, &told) == nil {
-			return told.Sequence, ""
+			return max(told.Sequence, told.Version), ""
 		}
 		return 0, fmt.Sprintf("%d %s", status, raw[:min(len(raw), 200)])
 	}
@@ -552,7 +548,7 @@
 func (t *Trial) steady() error {
 	before := t.sample()
 	own, _ := UsageOf(os.Getpid())
-	asks, misses, announced := t.herd.asks.Load(), t.herd.misses.Load(), t.world.announced.Load()
+	asks, misses, announced := t.herd.asks.Load(), t.herd.misses.Load(), t.outside.announcements()
 	began := time.Now()
 	run.Await(make(chan struct{}), t.size.Steady)
 	after := t.sample()
@@ -562,7 +558,7 @@
 	nodes := float64(len(t.herd.nodes))
 	t.result.Asks = float64(t.herd.asks.Load()-asks) / span / nodes
 	t.result.Misses = float64(t.herd.misses.Load()-misses) / span / nodes
-	t.result.Announced = float64(t.world.announced.Load()-announced) / span / float64(len(t.reals()))
+	t.result.Announced = float64(t.outside.announcements()-announced) / span / float64(len(t.reals()))
 	for _, one := range t.reals() {
 		role := Role{Name: t.roleOf(one.name), Rate: RateOf(before[one.name].usage, after[one.name].usage)}
 		role.Heard = float64(after[one.name].counts["link_in"]-before[one.name].counts["link_in"]) / span
@@ -631,13 +627,16 @@
 }
 
 func (t *Trial) promote() error {
+	term := uint64(0)
+	t.herd.each(func(node *hollow) { term = max(term, node.serve.Writer(databaseName(0)).Term) })
 	since := time.Now()
-	t.world.kill(databaseName(0) + "-a")
-	isOpen := func(node *hollow) bool { return !node.openAt["2/"+view.PhaseOpen].IsZero() }
+	t.outside.endPrimary()
+	isOpen := func(node *hollow) bool { return !node.openAt[term+1].IsZero() }
 	if _, err := t.until(t.size.Patience, EventPrimary, func() bool { return t.herd.count(isOpen) == len(t.herd.nodes) }); err != nil {
 		return err
 	}
-	t.event(EventPrimary, t.world.promoted.Load(), fmt.Sprintf("%d promote calls", t.world.promoted.Load()), func(node *hollow) time.Time { return node.openAt["2/"+view.PhaseOpen] }, since, all)
+	calls := t.outside.promotions()
+	t.event(EventPrimary, calls, fmt.Sprintf("%d promote calls", calls), func(node *hollow) time.Time { return node.openAt[term+1] }, since, all)
 	return nil
 }
 
--- a/proof/scale/world.go
+++ b/proof/scale/world.go
@@ -33,7 +33,26 @@
 	return "east"
 }
 
+// outside is what surrounds a fleet: instances, the platform, the operator.
+type outside interface {
+	// open listens; the platform is met at the address.
+	open(address string) error
+	// meet tells of a real process that has started.
+	meet(made *real)
+	live() []view.Instance
+	// endPrimary ends the first database's primary.
+	endPrimary()
+	// change gives the call that makes the operator's change of a number.
+	change(number int, expected uint64) (path string, body any)
+	promotions() int64
+	announcements() int64
+	close()
+}
+
 type world struct {
+	crew      *run.Crew
+	databases int
+	homes     map[string]map[string]bool
 	mutex     sync.Mutex
 	instances []view.Instance
 	isDead    map[string]bool
@@ -49,7 +68,7 @@
 func databaseName(number int) string { return fmt.Sprintf("db%d", number) }
 
 func newWorld(databases int) *world {
-	w := &world{isDead: map[string]bool{}, index: 1000}
+	w := &world{databases: databases, isDead: map[string]bool{}, index: 1000}
 	for number := range databases {
 		for copy_ := range Copies {
 			role := view.RoleReplica
@@ -66,7 +85,12 @@
 	return w
 }
 
-func (w *world) open(host string) error {
+func (w *world) open(address string) error {
+	host, _, _ := net.SplitHostPort(address)
+	platform, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
 	for group := range 2 {
 		for copy_ := range Copies {
 			listener, err := net.Listen("tcp", host+":0")
@@ -79,19 +103,37 @@
 			w.servers = append(w.servers, server)
 		}
 	}
+	w.listeners = append(w.listeners, platform)
+	w.servers = append(w.servers, &http.Server{Handler: http.HandlerFunc(w.promote)})
 	for at := range w.instances {
 		w.instances[at].Address = w.listeners[min(at/Copies, 1)*Copies+at%Copies].Addr().String()
 	}
+	for at, server := range w.servers {
+		listener := w.listeners[at]
+		w.crew.Go(func() { _ = server.Serve(listener) })
+	}
 	return nil
 }
 
-func (w *world) run(crew *run.Crew) {
-	for at, server := range w.servers {
-		listener := w.listeners[at]
-		crew.Go(func() { _ = server.Serve(listener) })
+func (w *world) meet(made *real) {
+	own := w.homes[made.name]
+	w.announce(w.crew, made.door, func(one view.Instance) bool { return made.kind == view.KindControl || own == nil || own[one.Database] })
+}
+
+func (w *world) endPrimary() { w.kill(databaseName(0) + "-a") }
+
+func (w *world) change(number int, expected uint64) (string, any) {
+	var list []map[string]any
+	for at := range min(w.databases, mostBindings) {
+		list = append(list, map[string]any{"name": "use-" + databaseName(at), "database": databaseName(at), "freshness_ms": 1500 + number})
 	}
+	return "/v1/bindings/put", map[string]any{"id": fmt.Sprintf("put-%d", number), "expected": expected, "bindings": list}
 }
 
+func (w *world) promotions() int64 { return w.promoted.Load() }
+
+func (w *world) announcements() int64 { return w.announced.Load() }
+
 func (w *world) close() {
 	for _, server := range w.servers {
 		_ = server.Close()
