Give each scale run a block of loopback addresses that no other run has

Two runs at once could take the same addresses: the block was chosen by the process id and a count, so that the second fleet of one run met the first of the next. Of 10 copies of the small fleet at once 5 failed with "bind: address already in use".

Change: a run claims its block by listening on a port of it until its end, and goes on to the next block where that is taken.

--- a/proof/scale/trial.go
+++ b/proof/scale/trial.go
@@ -140,10 +140,27 @@
 	result   Result
 }
 
-var net24 atomic.Int64
+var block atomic.Int64
+
+const (
+	blocks    = 180
+	claimPort = 17000
+)
+
+// claim takes a block of loopback addresses that no other run on this machine
+// has, until the claim is closed.
+func claim() (net.Listener, error) {
+	for try := range blocks {
+		block.Store(int64(64 + (os.Getpid()+try)%blocks))
+		if claimed, err := net.Listen("tcp", address(groupWorld, 0, claimPort)); err == nil {
+			return claimed, nil
+		}
+	}
+	return nil, fmt.Errorf("all %d blocks of loopback addresses are taken", blocks)
+}
 
 func loopback(group, number int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 64+int(net24.Load()+int64(os.Getpid()))%180, group+number/250, number%250+1)
+	return fmt.Sprintf("127.%d.%d.%d", block.Load(), group+number/250, number%250+1)
 }
 
 const (
@@ -168,7 +185,11 @@
 func RunInside(size Size) Result { return play(size, inside(), "", false) }
 
 func play(size Size, how begin, folder string, hasProbe bool) Result {
-	net24.Add(1)
+	claimed, err := claim()
+	if err != nil {
+		return Result{Size: size, Fault: err.Error()}
+	}
+	defer func() { _ = claimed.Close() }()
 	t := &Trial{size: size, begin: how, folder: folder, crew: run.NewCrew(), places: map[string]settings.Settings{}, relays: map[string]*stand.Relay{}, result: Result{Size: size}}
 	defer t.end()
 	t.fault(t.start(hasProbe))
