Measure what the line path costs for each session, statement, instance and database

Slopes were known of the product's own manner alone; the users' platform runs the machine of lines. Ten slopes more, all of the product's machines without a network: a session held, a statement among so many sessions and among so many instances, the beat of an idle node, the instances known, an ask with its reports, that ask taken and answered, a manifest and the roll of instances carried, and a takeover's case.

Tests: bytes for each database, instance and session stay bounded, and each statement is answered once.

--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -59,6 +59,10 @@
 		{"an ask for each instance", askOf, 30, 300, 120},
 		{"news for each database", newsOf, 10, 100, 260},
 		{"a state file for each database", writeOf, 10, 100, 800},
+		{"a line node's ask for each database", lineAskOf, 10, 100, 120},
+		{"a manifest for each database", manifestOf, 10, 100, 260},
+		{"the roll for each instance", rollOf, 30, 300, 120},
+		{"memory for each line session", lineSessionOf, 1000, 3000, 700},
 	}
 	for _, bound := range bounds {
 		Convey("Bytes of "+bound.name+" stay bounded", t, func() {
@@ -77,6 +81,15 @@
 	})
 }
 
+func TestLineStatements(t *testing.T) {
+	Convey("Each line statement is answered once, however many sessions and instances there are", t, func() {
+		for _, count := range []int{30, 300} {
+			_, err := lineStatementAmong(count)
+			So(err, ShouldBeNil)
+		}
+	})
+}
+
 func TestMessagesOfOneBeat(t *testing.T) {
 	Convey("A node tells as many others as watch each node, and now and then the seeds, however many nodes there are", t, func() {
 		for _, count := range []int{30, 120} {
--- a/proof/scale/slopes.go
+++ b/proof/scale/slopes.go
@@ -53,7 +53,7 @@
 // Slopes lists what is measured of the machines alone, without a network: so
 // at the full size, too.
 func Slopes() []Slope {
-	return []Slope{
+	return append([]Slope{
 		{"gossip: one beat at rest", "nodes", "each node", nodeSizes, restOf},
 		{"gossip: one beat, all nodes reborn", "nodes", "each node", nodeSizes, beatOf},
 		{"gossip: one message taken at rest", "nodes", "each node", nodeSizes, toldOf},
@@ -68,7 +68,7 @@
 		{"session held", "sessions", "node", sessionSizes, sessionOf},
 		{"statement: bound, passed, answered", "sessions", "node", sessionSizes, statementOf},
 		{"go of a write recorded", "goes", "node", goSizes, goOf},
-	}
+	}, lineSlopes()...)
 }
 
 // Take measures one slope at the sizes up to a bound.
