--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -99,6 +99,8 @@
 	}
 	fmt.Printf("## Machines alone\n\n")
 	scale.PrintFigures(os.Stdout, figures)
+	fmt.Printf("\n## Worked out for 930 nodes and 1,900 databases\n\n")
+	scale.PrintLoads(os.Stdout, figures)
 	return nil
 }
 
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -81,6 +81,23 @@
 	})
 }
 
+func TestLoads(t *testing.T) {
+	Convey("What is worked out for the full size rests on slopes that are taken at that size", t, func() {
+		var taken []Figure
+		for _, slope := range Slopes() {
+			for _, size := range slope.Sizes {
+				taken = append(taken, Figure{Name: slope.Name, Size: size, Processor: time.Millisecond, Bytes: 1000, Link: time.Millisecond})
+			}
+		}
+		f := figuresOf(taken)
+		list := loads(f)
+		So(f.missed, ShouldBeEmpty)
+		for _, one := range list {
+			SoMsg(one.role+": "+one.what, one.core+one.out+one.in+one.memory, ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
 func TestLineStatements(t *testing.T) {
 	Convey("Each line statement is answered once, however many sessions and instances there are", t, func() {
 		for _, count := range []int{30, 300} {
--- a/proof/scale/slopes.go
+++ b/proof/scale/slopes.go
@@ -57,6 +57,7 @@
 		{"gossip: one beat at rest", "nodes", "each node", nodeSizes, restOf},
 		{"gossip: one beat, all nodes reborn", "nodes", "each node", nodeSizes, beatOf},
 		{"gossip: one message taken at rest", "nodes", "each node", nodeSizes, toldOf},
+		{"gossip: nodes known", "nodes", "each node", nodeSizes, membersOf},
 		{"ask: built, with its reports", "instances", "node", instanceSizes, askOf},
 		{"ask: taken and answered, nothing new", "instances", "control primary", instanceSizes, deskOf},
 		{"ask: taken while all nodes are leased", "nodes", "control primary", nodeSizes, leasedOf},
@@ -125,6 +126,16 @@
 	}
 }
 
+func membersOf(count int) (Figure, error) {
+	before := heap()
+	machine, told := memberOf(count)
+	machine.Step(told(1), time.Hour)
+	machine.Step(member.Tick{}, time.Hour+member.DefaultTiming().Beat)
+	held := heap() - before
+	runtime.KeepAlive(machine)
+	return Figure{Bytes: held}, nil
+}
+
 func sendOf(effects []any, before member.Gossip) member.Gossip {
 	for _, effect := range effects {
 		if send, isSend := effect.(member.Send); isSend {
