Make the scale run's output one page that replaces the old one

The page of capacity held its tables copied by hand, and its default sizes took in none of the platform's manner.

Change: `go run ./proof/cmd/scale > docs/capacity-tables.md` writes all tables, with the sizes, cores and load of the run above them.

--- a/proof/scale/usage.go
+++ b/proof/scale/usage.go
@@ -22,6 +22,16 @@
 	Read, Written int64
 }
 
+// Busy tells the load of the last minute as the system counts it.
+func Busy() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	return first
+}
+
 const tick = 10 * time.Millisecond
 
 // UsageOf reads what the system tells of a process.
