--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -23,8 +23,6 @@
 const defaultSizes = "30x10,100x10,300x10,600x10,30x40,30x100," +
 	"30x10@lines,100x10@lines,300x10@lines,600x10@lines,930x10@lines,30x40@lines,30x100@lines,30x300@lines,100x100@lines,930x1900@lines"
 
-const inMemory = "/dev/shm"
-
 func measure() int {
 	sizes := flag.String("sizes", defaultSizes, "fleets, as NODESxDATABASES/HOMES/KNOWN, with @lines behind for synced instances and manifests, with commas between; none for none")
 	most := flag.Int("most", 100000, "largest size at which a machine is measured alone; 0 for none")
@@ -34,7 +32,7 @@
 	steady := flag.Duration("steady", 5*time.Second, "how long a fleet is measured at rest")
 	patience := flag.Duration("patience", 30*time.Second, "bound of each wait")
 	root := flag.String("root", ".", "the workspace")
-	keep := flag.String("folder", "", "folder to leave logs and data in; by default one in memory that is removed, so that no disk is measured")
+	keep := flag.String("folder", "", "folder to leave logs and data in; by default a temporary one that is removed")
 	flag.Parse()
 	logging.SetLogger(start.Silent{})
 	runtime.GOMAXPROCS(max(*cores, 1))
@@ -56,7 +54,7 @@
 	}
 	folder := *keep
 	if folder == "" {
-		if folder, err = makeFolder(); err != nil {
+		if folder, err = os.MkdirTemp("", "seam-scale"); err != nil {
 			return fail(err)
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
@@ -88,13 +86,6 @@
 	return 0
 }
 
-func makeFolder() (string, error) {
-	if folder, err := os.MkdirTemp(inMemory, "seam-scale"); err == nil {
-		return folder, nil
-	}
-	return os.MkdirTemp("", "seam-scale")
-}
-
 func fail(err error) int {
 	fmt.Fprintln(os.Stderr, err)
 	return 1
