Grade instances by what came of statements, and run a failed read once more elsewhere

Cause: a read that an instance failed went back to its client, and nothing but latency told one instance from another: one that fails at once looked the fastest of all. Ruled out: ejection by a count of failures: at 60 nodes a node sends an instance some 0.1 to 0.4 statements a second (estimate), so a trouble of 6 s shows it one or two. Change: coordination/outlier, a grade for each instance from this node's own traffic: failures, cuts and reads twinned for want of an answer against good answers. It makes an instance dearer in the choice among those fresh enough, fades by half in 2 s, and never takes one out of the choice. The window stays the judge of how much. A read that ended with FAILED is run once more (as often as the binding's tries say), at another instance where there is one, then passed as it came. Tests, seen failing first: the second run elsewhere, and the choice that avoids and returns. The test that errors pass as they came now holds a read's FAILED to its second run, and holds writes to each code at once as well, which it did not.

--- a/pooler/coordination/pool/answers.go
+++ b/pooler/coordination/pool/answers.go
@@ -479,6 +479,22 @@
 		outcome = admit.Refused
 	}
 	l.conn.back.window.Done(outcome, m.sized(l.job, now-l.sentAt))
+	if !isRefused {
+		l.conn.back.grade.Note(l.isFailed(), now)
+	}
+}
+
+// goes is how often a read that an instance failed may be run in all.
+func (j *Job) goes() int {
+	if j.binding.Tries > 0 {
+		return j.binding.Tries
+	}
+	return 2
+}
+
+// isFailed says whether the instance ran the statement and failed it.
+func (l *leg) isFailed() bool {
+	return l.end.Kind == stream.KindError && (l.end.Code == stream.CodeFailed || l.end.Code == stream.CodeTimeout)
 }
 
 // sized brings a latency to the reference size of work.
@@ -570,7 +586,12 @@
 	isUnknown := l.end.Code == stream.CodeNotFound
 	l.conn.isDirty = l.conn.isDirty || isUnknown
 	isRefused := l.end.Code == stream.CodeLagging || l.end.Code == stream.CodeBusy || l.end.Code == stream.CodeReadOnly
-	isAgain := (j.isFree() && isRefused) || (j.turn == nil && isUnknown)
+	isFailed := j.isFree() && l.end.Code == stream.CodeFailed && j.failed+1 < j.goes()
+	if isFailed {
+		j.failed, j.avoid = j.failed+1, l.conn.back
+		m.count("reads_failed_elsewhere", 1)
+	}
+	isAgain := (j.isFree() && isRefused) || (j.turn == nil && isUnknown) || isFailed
 	if isAgain && l.hasTwin() {
 		l.isDropped = true
 		return
--- a/pooler/coordination/pool/conns.go
+++ b/pooler/coordination/pool/conns.go
@@ -79,6 +79,7 @@
 	conn.leg = nil
 	if l != nil {
 		held.window.Done(admit.Lost, m.sized(l.job, now-l.sentAt))
+		held.grade.Note(true, now)
 	}
 	owner := conn.owner
 	conn.owner = nil
@@ -118,6 +119,7 @@
 		l.isDropped = true
 		return
 	}
+	j.avoid = l.conn.back
 	m.again(j, now)
 }
 
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -177,7 +177,10 @@
 		if !j.isDue(now) {
 			continue
 		}
-		target, floor := m.selectBack(one, j, nil, now)
+		target, floor := m.selectBack(one, j, j.avoid, now)
+		if target == nil && j.avoid != nil {
+			target, floor = m.selectBack(one, j, nil, now)
+		}
 		var conn *Conn
 		if target != nil {
 			conn = m.spare(target, j.client)
@@ -231,6 +234,7 @@
 			HasRoom: held.window.HasRoom() && (len(held.idle) > 0 || m.canGrow(held, now)), IsNear: held.info.Zone == m.place.Zone,
 			IsFresh:  isRead || (isHead && isOpen && m.serve.MayWrite(one.name, writer.Term, now)),
 			Pressure: float64(reading.Open+reading.Ghosts) / max(reading.Window, 1), Cal: reading.Cal,
+			Factor: held.grade.Factor(now),
 		})
 		targets = append(targets, held)
 	}
@@ -424,6 +428,7 @@
 				continue
 			}
 			if conn := m.spare(target, j.client); conn != nil {
+				j.legs[0].conn.back.grade.Note(true, now)
 				j.isTwin, j.floor = true, floor
 				remove(&one.out, j)
 				m.count("reads_twinned", 1)
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -10,6 +10,7 @@
 
 	"tansyseam.example/pooler/coordination/admit"
 	"tansyseam.example/pooler/coordination/lease"
+	"tansyseam.example/pooler/coordination/outlier"
 	"tansyseam.example/pooler/coordination/rights"
 	"tansyseam.example/pooler/coordination/serve"
 	"tansyseam.example/pooler/coordination/steer"
@@ -215,6 +216,9 @@
 	isTwin   bool
 	tries    int
 	restAt   time.Duration
+	// avoid is the instance that failed it last, failed how often one did.
+	avoid    *back
+	failed   int
 	term     uint64
 	floor    view.Position
 	answer   []stream.Message
@@ -291,6 +295,7 @@
 	info      view.Instance
 	database  int
 	share     rights.Share
+	grade     outlier.Grade
 	window    *admit.Window
 	idle      []*Conn
 	conns     []*Conn
--- a/pooler/coordination/pool/pool_test.go
+++ b/pooler/coordination/pool/pool_test.go
@@ -875,12 +875,60 @@
 	})
 	Convey("Errors of an instance pass as they came", t, func() {
 		for _, code := range []stream.Code{stream.CodeFailed, stream.CodeTimeout, stream.CodeOther} {
-			r := newRig(20)
-			c := r.client("strict")
+			for _, ask := range []Asked{read("1"), write("1")} {
+				r := newRig(20)
+				c := r.client("strict")
+				r.query(c, ask)
+				r.answer(r.next(), stream.StateIdle, bad(code))
+				if code == stream.CodeFailed && ask.Statement.Act == stream.ActRead {
+					So(r.answers(c), ShouldEqual, 1)
+					r.wait(50 * time.Millisecond)
+					r.answer(r.next(), stream.StateIdle, bad(code))
+				}
+				So(r.heard(c), ShouldEqual, "ERROR "+codes[code]+" / READY I")
+				r.wait(200 * time.Millisecond)
+				So(r.sends, ShouldBeEmpty)
+			}
+		}
+	})
+	Convey("A read that an instance failed is run once more, at another where there is one", t, func() {
+		r := newRig(20)
+		r.sampled()
+		c := r.client("stale")
+		r.wait(200 * time.Millisecond)
+		r.query(c, read("1"))
+		first := r.next()
+		r.answer(first, stream.StateIdle, bad(stream.CodeFailed))
+		r.wait(50 * time.Millisecond)
+		second := r.next()
+		So(second.to(), ShouldNotEqual, first.to())
+		So(texts(second), ShouldEqual, "read 1")
+		r.answer(second, stream.StateIdle, ok("s"))
+		So(r.heard(c), ShouldEqual, "DONE s / READY I")
+		So(r.sound(), ShouldEqual, "")
+	})
+	Convey("Reads go where they failed less, and back in a while", t, func() {
+		r := newRig(20)
+		r.sampled()
+		r.wait(200 * time.Millisecond)
+		c := r.client("stale")
+		goes := func() string {
 			r.query(c, read("1"))
-			r.answer(r.next(), stream.StateIdle, bad(code))
-			So(r.heard(c), ShouldEqual, "ERROR "+codes[code]+" / READY I")
+			send := r.next()
+			r.answer(send, stream.StateIdle, ok("s"))
+			return send.to()
+		}
+		So(goes(), ShouldEqual, "b")
+		for range 3 {
+			r.back("b").grade.Note(true, r.now)
+		}
+		So(goes(), ShouldNotEqual, "b")
+		for range 16 {
+			r.wait(time.Second)
+			r.sampled()
 		}
+		r.wait(200 * time.Millisecond)
+		So(goes(), ShouldEqual, "b")
 	})
 	Convey("A statement that fails its transaction has it rolled back, and the client ends it", t, func() {
 		r := newRig(20)
--- a/pooler/coordination/selects/selects.go
+++ b/pooler/coordination/selects/selects.go
@@ -13,6 +13,9 @@
 	// Pressure is the part of the window in use.
 	Pressure float64
 	Cal      time.Duration
+	// Factor is by how much dearer its failures make it, 1 at least; 0 counts
+	// as 1.
+	Factor float64
 }
 
 // Select gives the index of the best choice, or -1 where none may be used
@@ -36,5 +39,5 @@
 	if !choice.IsNear {
 		cost = cost*2 + 1.5
 	}
-	return cost
+	return cost * max(choice.Factor, 1)
 }
