Play a fleet with more nodes than connections in the simulator

Cause: every simulated shape gave each node three connections at an instance or more, so rights and spares were played by no seed. Change: CrowdedLines, 14 nodes before 2 databases with 11 connections an instance.

--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -67,6 +67,11 @@
 	return LineShape{Controls: 3, Nodes: 3, Databases: 2, Clients: 20, Connections: 24, Slots: 6, Span: 20 * time.Second, Tail: 18 * time.Second}
 }
 
+// CrowdedLines gives a fleet with more nodes than an instance takes connections.
+func CrowdedLines() LineShape {
+	return LineShape{Controls: 3, Nodes: 14, Databases: 2, Clients: 20, Connections: 11, Slots: 6, Span: 12 * time.Second, Tail: 18 * time.Second}
+}
+
 // LargeLines is one with five, and more nodes and troubles at once.
 func LargeLines() LineShape {
 	return LineShape{Controls: 5, Nodes: 5, Databases: 2, Clients: 36, Connections: 40, Slots: 6, Span: 24 * time.Second, Tail: 18 * time.Second, Pace: 1500 * time.Millisecond}
--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -66,6 +66,25 @@
 	})
 }
 
+func TestLinesCrowded(t *testing.T) {
+	Convey("With more nodes than an instance takes connections all is served, and without a promise or a cut", t, func() {
+		size := CrowdedLines()
+		size.Script = func(*lines) {}
+		result := RunLines(1, size, LinePlant{}, nil)
+		So(result.Faults, ShouldBeEmpty)
+		So(result.Codes, ShouldBeEmpty)
+		So(result.Terms, ShouldEqual, 1)
+		So(result.Served, ShouldBeGreaterThan, 1000)
+	})
+	Convey("So every rule holds there under random troubles", t, func() {
+		onlyWithoutRace(t)
+		for _, result := range runManyLines(1, 4, CrowdedLines(), LinePlant{}) {
+			SoMsg(fmt.Sprintf("seed %d", result.Seed), result.Faults, ShouldBeEmpty)
+			So(result.Writes, ShouldBeGreaterThan, 300)
+		}
+	})
+}
+
 func TestLinesSeedsOnceBroken(t *testing.T) {
 	onlyWithoutRace(t)
 	seeds := []struct {
