--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -19,16 +19,28 @@
 	Margin time.Duration
 	// Wait is the longest that an ask waits for news.
 	Wait time.Duration
+	// InForce is within how long of its taking a set is in force everywhere.
+	InForce time.Duration
 }
 
+// Patience is how long after a set was taken, or was due, nodes may still
+// be leased to serve under the one before. After that they hold.
+func (t Timing) Patience() time.Duration { return t.InForce - 300*time.Millisecond }
+
+// Reach is how far past its taking leases may go while a set has no moment: a
+// node that is silent has lapsed by then, and the moment comes after the others'.
+func (t Timing) Reach() time.Duration { return t.InForce - 600*time.Millisecond }
+
 // DefaultTiming gives the project's bounds.
 func DefaultTiming() Timing {
-	return Timing{Full: 1600 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond}
+	return Timing{Full: 1600 * time.Millisecond, Drift: 3, Margin: 60 * time.Millisecond, Wait: 250 * time.Millisecond, InForce: 3 * time.Second}
 }
 
 type holding struct {
 	until time.Duration
 	acked table.Stamp
+	// isCounted says that its lapse was not yet counted.
+	isCounted bool
 }
 
 // Desk is what the control primary has given out.
@@ -37,14 +49,17 @@
 	began  time.Duration
 	nodes  map[string]holding
 	frozen time.Duration
+	// lapses counts the leases seen to lapse; none lapses before soonest.
+	lapses  uint64
+	soonest time.Duration
 }
 
 // NewDesk starts with no lease of its own given out. Each node on record may
 // hold one of an earlier primary's, for up to a full lease.
 func NewDesk(timing Timing, nodes []string, now time.Duration) *Desk {
-	d := &Desk{timing: timing, began: now, nodes: map[string]holding{}}
+	d := &Desk{timing: timing, began: now, nodes: map[string]holding{}, soonest: now + timing.Full}
 	for _, node := range nodes {
-		d.nodes[node] = holding{until: now + timing.Full}
+		d.nodes[node] = holding{until: now + timing.Full, isCounted: true}
 	}
 	return d
 }
@@ -65,6 +80,7 @@
 func (d *Desk) OnBare(node string, now time.Duration) {
 	if held, isMet := d.nodes[node]; isMet {
 		held.until = min(held.until, now)
+		d.soonest = min(d.soonest, held.until)
 		d.nodes[node] = held
 	}
 }
@@ -78,10 +94,35 @@
 		length = max(min(length, d.frozen-now), 0)
 	}
 	held.until = max(held.until, now+length)
+	if held.until > now {
+		held.isCounted = true
+		d.soonest = min(d.soonest, held.until)
+	}
 	d.nodes[node] = held
 	return length
 }
 
+// Lapses counts the leases that were seen to lapse up to now. The nodes are
+// looked through only when one may have.
+func (d *Desk) Lapses(now time.Duration) uint64 {
+	if now < d.soonest {
+		return d.lapses
+	}
+	d.soonest = now + d.timing.Full
+	for name, held := range d.nodes {
+		if held.until > now {
+			d.soonest = min(d.soonest, held.until)
+			continue
+		}
+		if held.isCounted {
+			held.isCounted = false
+			d.nodes[name] = held
+			d.lapses++
+		}
+	}
+	return d.lapses
+}
+
 // Freeze bars leases past a moment until the moment is safely recorded.
 func (d *Desk) Freeze(until time.Duration) { d.frozen = until }
 
@@ -107,6 +148,9 @@
 	return latest
 }
 
+// IsHeld says whether a node may hold a lease.
+func (d *Desk) IsHeld(node string, now time.Duration) bool { return d.nodes[node].until > now }
+
 // Held lists the nodes that may hold a lease, with what each has taken up.
 func (d *Desk) Held(now time.Duration) map[string]table.Stamp {
 	nodes := map[string]table.Stamp{}
@@ -131,7 +175,12 @@
 }
 
 // Forget drops a node that is no longer on record.
-func (d *Desk) Forget(node string) { delete(d.nodes, node) }
+func (d *Desk) Forget(node string) {
+	if d.nodes[node].isCounted {
+		d.lapses++
+	}
+	delete(d.nodes, node)
+}
 
 // Began gives when this primary took the desk.
 func (d *Desk) Began() time.Duration { return d.began }
--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -20,24 +20,26 @@
 
 func main() { os.Exit(measure()) }
 
-const defaultSizes = "12x10,30x10,60x10,100x10,300x10,30x20,30x30,30x40,30x100,100x10//24,300x10//24,600x10//24,930x10//24,100x100/1/24,300x100/1/24,930x1900/1/24"
+const defaultSizes = "30x10,100x10,300x10,600x10,30x40,30x100," +
+	"30x10@lines,100x10@lines,300x10@lines,600x10@lines,930x10@lines,30x40@lines,30x100@lines,30x300@lines,100x100@lines,930x1900@lines"
 
 func measure() int {
-	sizes := flag.String("sizes", defaultSizes, "fleets, as NODESxDATABASES/HOMES/KNOWN, with commas between; none for none")
+	sizes := flag.String("sizes", defaultSizes, "fleets, as NODESxDATABASES/HOMES/KNOWN, with @lines behind for synced instances and manifests, with commas between; none for none")
 	most := flag.Int("most", 100000, "largest size at which a machine is measured alone; 0 for none")
 	disks := flag.Int("disks", 3, "control machines of a fleet")
-	cores := flag.Int("cores", 3, "cores of the hollow nodes")
+	cores := flag.Int("cores", 2, "cores of the hollow nodes")
 	each := flag.Int("each", 1, "cores of each real process")
 	steady := flag.Duration("steady", 5*time.Second, "how long a fleet is measured at rest")
 	patience := flag.Duration("patience", 30*time.Second, "bound of each wait")
 	root := flag.String("root", ".", "the workspace")
-	keep := flag.String("folder", "", "folder to leave logs in")
+	keep := flag.String("folder", "", "folder to leave logs and data in; by default a temporary one that is removed")
 	flag.Parse()
 	logging.SetLogger(start.Silent{})
 	runtime.GOMAXPROCS(max(*cores, 1))
 	if err := os.Setenv("GOMAXPROCS", strconv.Itoa(max(*each, 1))); err != nil {
 		return fail(err)
 	}
+	fmt.Printf("# Tables of the scale run\n\nPrinted by `go run ./proof/cmd/scale`, sizes `%s`; %d cores for all hollow nodes, %d for each real process, a machine of %d; load of all work on it at the start %s.\n\n", *sizes, *cores, *each, runtime.NumCPU(), scale.Busy())
 	if *most > 0 {
 		if err := machines(*most); err != nil {
 			return fail(err)
@@ -80,6 +82,7 @@
 	scale.PrintEvents(os.Stdout, results)
 	fmt.Printf("\n## What else was seen\n\n")
 	scale.PrintNotes(os.Stdout, results)
+	fmt.Printf("\nLoad of all work on the machine at the end: %s.\n", scale.Busy())
 	return 0
 }
 
@@ -99,6 +102,8 @@
 	}
 	fmt.Printf("## Machines alone\n\n")
 	scale.PrintFigures(os.Stdout, figures)
+	fmt.Printf("\n## Worked out for 930 nodes and 1,900 databases\n\n")
+	scale.PrintLoads(os.Stdout, figures)
 	return nil
 }
 
@@ -109,6 +114,7 @@
 			continue
 		}
 		size := scale.Size{}
+		one, size.IsLined = strings.CutSuffix(one, "@lines")
 		counts := strings.Split(strings.Replace(one, "x", "/", 1), "/")
 		for at, into := range []*int{&size.Nodes, &size.Databases, &size.Homes, &size.Known} {
 			if at >= len(counts) || (at > 1 && counts[at] == "") {
