Send watchers beats unasked, and new nodes only to those that know something else

Cause: a beat was a question and its answer; each node asked all three seeds at every eighth beat, however well it knew them; a node that was new was told in each message for 1.5 s, also to those that knew it. The member's clock ran seven times a beat, and both programs listed and sorted all nodes at each of their own beats to count them. Ruled out: a longer beat (three lost ones are then a death), watchers of the own zone only (a zone that is cut off would be held dead by nobody). Change: Gossip.IsWatch asks for beats, which then come for 5.6 s; a watcher of the version before still asks each time, and one that is not answered so asks after two beats. What is new goes to those whose last digest is another; beats that refute a suspicion go to all. A seed is gone to when few nodes are known, when it is not known to live, else seldom. One tick a beat; counts are kept until a standing turns; the beat no longer sorts names.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -133,7 +133,8 @@
 	if err := n.Hub.Listen(); err != nil {
 		return errors.Trace(err)
 	}
-	n.Crew.Loop(nil, 50*time.Millisecond, func() { n.step(member.Tick{}) })
+	n.step(member.Tick{})
+	n.Crew.Loop(nil, member.DefaultTiming().Beat, func() { n.step(member.Tick{}) })
 	door, err := web.OpenDoor(place.Door, http.HandlerFunc(n.serve), n.onGone)
 	if err != nil {
 		return errors.Trace(err)
@@ -213,6 +214,13 @@
 	})
 }
 
+// Count counts the live nodes of a kind.
+func (n *Node) Count(kind string) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.members.Count(kind)
+}
+
 // Standing gives how a node is held, and how long it was silent.
 func (n *Node) Standing(name string) (string, time.Duration) {
 	n.mutex.Lock()
--- a/pooler/cmd/plane/plane.go
+++ b/pooler/cmd/plane/plane.go
@@ -16,7 +16,6 @@
 	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/coordination/goes"
 	"tansyseam.example/pooler/coordination/hall"
-	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/dialect"
 	"tansyseam.example/pooler/protocol/msg"
@@ -110,7 +109,7 @@
 func (p *Plane) giveUp(j *hall.Job) { p.step((*hall.Machine).GiveUp)(j) }
 
 func (p *Plane) beat() {
-	count, beta := len(p.node.Nodes(view.KindData, member.IsLive)), p.node.Place().Weight
+	count, beta := p.node.Count(view.KindData), p.node.Place().Weight
 	p.do(func(now time.Duration) {
 		p.hall.Beat(count, beta, now)
 		isReady, why := p.hall.Ready(now)
--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -14,7 +14,6 @@
 
 	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/coordination/lease"
-	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/pool"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
@@ -83,7 +82,7 @@
 }
 
 func (s *Sessions) beat() {
-	count, beta := len(s.node.Nodes(view.KindData, member.IsLive)), s.node.Place().Weight
+	count, beta := s.node.Count(view.KindData), s.node.Place().Weight
 	s.do(func(now time.Duration) {
 		s.pool.Beat(count, beta, now)
 		isReady, why := s.pool.Ready(now)
--- a/pooler/coordination/member/member.go
+++ b/pooler/coordination/member/member.go
@@ -2,7 +2,8 @@
 // seeds, tell each other what they know, and hold one another dead only on
 // the word of more than one watcher. Beats go between a node and its few
 // watchers and carry what has lately changed; the rest is compared by digests
-// over ranges and mended from the newer.
+// over ranges and mended from the newer. A watcher asks for the beats of those
+// that it watches, and is then sent them unasked for some time.
 package member
 
 import (
@@ -36,6 +37,8 @@
 	Nodes      []view.Node
 	Suspicions []Suspicion
 	IsReply    bool
+	// IsWatch says that the sender wants the other's beats.
+	IsWatch bool
 	// Digest is that of all the sender knows; Digests are those of the ranges,
 	// given to one whose Digest is unlike, and Want names ranges to be filled.
 	Digest  uint64
@@ -77,11 +80,18 @@
 	direct   time.Duration
 	standing string
 	turned   time.Duration
-	// fresh is until when it is told to others, compared when digests were
-	// last compared with it, and isKnown whether it knows this node whole.
+	// fresh is until when it is told to others that know something else, and
+	// doubted until when to all, since its beats refute a suspicion; compared
+	// is when digests were last compared with it, digest the last that it gave,
+	// and isKnown whether it knows this node whole.
 	fresh    time.Duration
+	doubted  time.Duration
 	compared time.Duration
+	digest   uint64
 	isKnown  bool
+	// asked is when its beats were last asked for, wanted until when it wants
+	// those of this node, and sent when it was last sent anything.
+	asked, wanted, sent time.Duration
 }
 
 // Timing holds the machine's bounds.
@@ -92,6 +102,10 @@
 	// Fresh is how long a change is told, Compare the pace at which digests
 	// are compared with one other node.
 	Fresh, Compare time.Duration
+	// Renew is the pace at which a watcher asks for beats that it gets; they
+	// are sent for twice as long. Roam is the pace of going to a seed though
+	// all of them are known to live.
+	Renew, Roam time.Duration
 }
 
 // DefaultTiming gives the project's bounds.
@@ -99,6 +113,7 @@
 	return Timing{
 		Beat: 350 * time.Millisecond, Silence: 1500 * time.Millisecond, Forget: 90 * time.Second,
 		Fresh: 1500 * time.Millisecond, Compare: 500 * time.Millisecond,
+		Renew: 2800 * time.Millisecond, Roam: 22 * time.Second,
 	}
 }
 
@@ -110,12 +125,17 @@
 	peers      map[string]*peer
 	suspicions map[Suspicion]time.Duration
 	beaten     time.Duration
+	roamed     time.Duration
+	roams      int
 	fresh      time.Duration
+	freshest   time.Duration
 	ranges     [Ranges]uint64
 	digest     uint64
 	isTurned   bool
 	watched    []string
 	isWatching bool
+	counts     map[string]int
+	isCounted  bool
 	effects    []any
 }
 
@@ -158,6 +178,19 @@
 	return 0
 }
 
+// Count counts the live nodes of a kind, this one among them.
+func (m *Machine) Count(kind string) int {
+	if !m.isCounted {
+		m.counts, m.isCounted = map[string]int{m.self.Kind: 1}, true
+		for _, other := range m.peers {
+			if other.standing == IsLive {
+				m.counts[other.node.Kind]++
+			}
+		}
+	}
+	return m.counts[kind]
+}
+
 // Standing gives how a node is held.
 func (m *Machine) Standing(name string) string {
 	if name == m.self.Name {
@@ -252,9 +285,12 @@
 	if to != nil && to.isKnown && m.fresh <= now {
 		gossip.From = brief(m.self)
 	}
-	for _, other := range m.peers {
-		if other.fresh > now && other != to {
-			gossip.Nodes = append(gossip.Nodes, other.node)
+	if m.freshest > now {
+		for _, other := range m.peers {
+			isNew := other.fresh > now && (to == nil || to.digest != m.digest)
+			if (isNew || other.doubted > now) && other != to {
+				gossip.Nodes = append(gossip.Nodes, other.node)
+			}
 		}
 	}
 	for suspicion, at := range m.suspicions {
@@ -268,34 +304,101 @@
 }
 
 func (m *Machine) onTick(now time.Duration) {
-	if now-m.beaten < m.timing.Beat {
+	if now-m.beaten < m.timing.Beat*9/10 {
 		return
 	}
 	m.beaten = now
 	m.self.Beat++
 	sent := map[string]bool{m.self.Link: true}
-	send := func(address string, to *peer) {
-		if address != "" && !sent[address] {
-			sent[address] = true
-			m.effects = append(m.effects, Send{Address: address, Gossip: m.gossip(to, now)})
+	send := func(address string, to *peer, isWatch, isReply bool) {
+		if address == "" || sent[address] {
+			return
+		}
+		sent[address] = true
+		gossip := m.gossip(to, now)
+		gossip.IsWatch, gossip.IsReply = isWatch, isReply
+		if to != nil {
+			to.sent = now
 		}
+		m.effects = append(m.effects, Send{Address: address, Gossip: gossip})
 	}
 	for _, name := range m.Watched() {
-		send(m.peers[name].node.Link, m.peers[name])
+		if other := m.peers[name]; m.isToAsk(other, now) {
+			other.asked = now
+			send(other.node.Link, other, true, false)
+		}
 	}
 	if lost := m.lost(); lost != nil {
-		send(lost.node.Link, lost)
+		send(lost.node.Link, lost, false, false)
 	}
-	isAlone := len(m.names()) < 4
-	if isAlone || m.self.Beat%8 == 0 {
-		for _, seed := range m.seeds {
-			send(seed, m.at(seed))
-		}
+	for _, seed := range m.seedsDue(now) {
+		send(seed, m.at(seed), false, false)
+	}
+	for _, other := range m.wanting(now) {
+		send(other.node.Link, other, false, true)
 	}
 	m.suspect(now)
 	m.judge(now)
 }
 
+// isToAsk says whether the beats of a watched node are to be asked for: in
+// their turn, where none came of late, and where there is something to tell.
+func (m *Machine) isToAsk(other *peer, now time.Duration) bool {
+	m.digests()
+	hasNews := m.fresh > now || (m.freshest > now && other.digest != m.digest) || len(m.suspicions) > 0
+	return hasNews || !other.isKnown || now-other.direct >= 2*m.timing.Beat || now-other.asked >= m.timing.Renew
+}
+
+func (m *Machine) wanting(now time.Duration) []*peer {
+	var list []*peer
+	for _, other := range m.peers {
+		if other.wanted > now && other.standing == IsLive && now-other.sent >= m.timing.Beat*9/10 {
+			list = append(list, other)
+		}
+	}
+	slices.SortFunc(list, func(a, b *peer) int { return cmpNames(a.node.Name, b.node.Name) })
+	return list
+}
+
+// seedsDue gives the seeds to go to: all while few nodes are known or a seed is
+// not known to live, one in its turn seldom.
+func (m *Machine) seedsDue(now time.Duration) []string {
+	isMissed := slices.ContainsFunc(m.seeds, func(seed string) bool { return seed != m.self.Link && m.at(seed) == nil })
+	if m.liveCount() < 4 || (isMissed && m.self.Beat%8 == 0) {
+		return m.seeds
+	}
+	if m.roams == 0 {
+		m.roamed, m.roams = now-time.Duration(digestOf(m.self)%uint64(m.timing.Roam)), 1
+	}
+	if len(m.seeds) == 0 || now < m.roamed+m.timing.Roam {
+		return nil
+	}
+	m.roamed = now
+	m.roams++
+	return m.seeds[m.roams%len(m.seeds):][:1]
+}
+
+// liveCount counts the nodes held live, this one among them.
+func (m *Machine) liveCount() int {
+	count := 1
+	for _, other := range m.peers {
+		if other.standing == IsLive {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) refresh(other *peer, until time.Duration) {
+	other.fresh = max(other.fresh, until)
+	m.freshest = max(m.freshest, until)
+}
+
+func (m *Machine) refute(other *peer, until time.Duration) {
+	other.doubted = max(other.doubted, until)
+	m.freshest = max(m.freshest, until)
+}
+
 // lost gives one of the nodes held dead, each in its turn: after a cut that
 // fell between halves, somebody must try the other.
 func (m *Machine) lost() *peer {
@@ -338,7 +441,7 @@
 }
 
 func (m *Machine) judge(now time.Duration) {
-	names := m.names()
+	count := m.liveCount()
 	for name, other := range m.peers {
 		if other.standing == IsDead && now-other.turned > m.timing.Forget {
 			delete(m.peers, name)
@@ -354,7 +457,7 @@
 				by[suspicion.By] = true
 			}
 		}
-		need := min(2, max(min(Watchers, len(names)-1), 1))
+		need := min(2, max(min(Watchers, count-1), 1))
 		if len(by) >= need {
 			m.turn(other, IsDead, "silent to more than one watcher", now)
 		}
@@ -366,8 +469,9 @@
 		return
 	}
 	other.standing, other.turned = standing, now
-	m.isWatching = false
-	other.fresh, m.isTurned = now+m.timing.Fresh, true
+	m.isWatching, m.isCounted = false, false
+	m.isTurned = true
+	m.refresh(other, now+m.timing.Fresh)
 	m.effects = append(m.effects, Changed{Node: other.node, Is: standing, Why: why})
 }
 
@@ -383,6 +487,9 @@
 		return
 	}
 	from := m.peers[gossip.From.Name]
+	if from != nil {
+		from.digest = gossip.Digest
+	}
 	reply := m.gossip(from, now)
 	reply.IsReply = true
 	isAsked := len(gossip.Digests) > 0 || len(gossip.Want) > 0
@@ -400,10 +507,13 @@
 	if from != nil {
 		from.isKnown = !isUnlike
 	}
+	if from != nil && gossip.IsWatch {
+		from.wanted = now + 2*m.timing.Renew
+	}
 	if !gossip.IsReply || len(reply.Digests) > 0 || (isAsked && (len(reply.Nodes) > 0 || len(reply.Want) > 0)) {
 		link := gossip.From.Link
 		if from != nil {
-			link = from.node.Link
+			link, from.sent = from.node.Link, now
 		}
 		if link != "" {
 			m.effects = append(m.effects, Send{Address: link, Gossip: reply})
@@ -440,7 +550,7 @@
 		return
 	}
 	if other.node.Beat > suspicion.Beat+1 {
-		other.fresh = max(other.fresh, now+m.timing.Fresh)
+		m.refute(other, now+m.timing.Fresh)
 		return
 	}
 	if _, isHeld := m.suspicions[suspicion]; !isHeld {
@@ -485,14 +595,17 @@
 	}
 	isChanged := isReborn || digestOf(node) != digestOf(other.node)
 	for suspicion := range m.suspicions {
-		isChanged = isChanged || (suspicion.Node == node.Name && node.Beat > suspicion.Beat+1)
+		if suspicion.Node == node.Name && node.Beat > suspicion.Beat+1 {
+			m.refute(other, now+m.timing.Fresh)
+		}
 	}
 	if isReborn {
 		other.isKnown = false
 	}
 	other.node, other.heard = node, now
 	if isChanged {
-		other.fresh, m.isTurned = now+m.timing.Fresh, true
+		m.isTurned = true
+		m.refresh(other, now+m.timing.Fresh)
 	}
 	if node.Left {
 		m.turn(other, IsLeft, "said goodbye", now)
--- a/pooler/coordination/member/member_test.go
+++ b/pooler/coordination/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,10 +81,13 @@
 			watchers += len(town.members[name].Watched())
 		}
 		So(watchers, ShouldEqual, 14*Watchers)
+		So(town.members["n03"].Count(view.KindData), ShouldEqual, 14)
+		So(town.members["n03"].Count(view.KindControl), ShouldEqual, 0)
 		Convey("A node that vanishes is held dead by all, and live again when it returns", func() {
 			town.gone["n07"] = true
 			town.pass(6 * time.Second)
 			So(town.holding("n07", IsDead), ShouldEqual, 13)
+			So(town.members["n03"].Count(view.KindData), ShouldEqual, 13)
 			town.gone["n07"] = false
 			town.members["n07"] = New(view.Node{Name: "n07", Kind: view.KindData, Link: "n07", Birth: int64(town.now)}, []string{"n00", "n01", "n02"}, DefaultTiming())
 			town.pass(4 * time.Second)
@@ -120,9 +124,43 @@
 			town.sent, town.told = 0, 0
 			town.pass(5 * time.Second)
 			So(town.told, ShouldEqual, 0)
-			So(town.sent, ShouldBeLessThan, count*(5*1000/350+1)*(2*Watchers+2))
+			SoMsg("a beat to each watcher, and a question with its answer each eight beats", town.sent, ShouldBeLessThan, count*(5*1000/350+1)*Watchers*3/2)
 		}
 	})
+	Convey("Nodes that start at once are told of each other a few times, not in each message while they are new", t, func() {
+		town := newTown(40)
+		town.pass(4 * time.Second)
+		for _, name := range town.order {
+			So(town.holding(name, IsLive), ShouldEqual, 39)
+		}
+		SoMsg("entries told to each node of each other", town.told/(40*39), ShouldBeLessThan, 12)
+	})
+	Convey("A seed that lives is asked seldom, one that does not at every eighth beat", t, func() {
+		town := newTown(40)
+		town.pass(10 * time.Second)
+		asked := func(seed string) int {
+			count := 0
+			for _, name := range town.order {
+				if name != seed && !slices.Contains(town.members[name].Watched(), seed) {
+					town.members[name].effects = nil
+					town.members[name].onTick(town.now + DefaultTiming().Beat)
+					for _, effect := range town.members[name].effects {
+						send, isSend := effect.(Send)
+						if isSend && send.Address == seed && !send.Gossip.IsReply {
+							count++
+						}
+					}
+				}
+			}
+			return count
+		}
+		all := 0
+		for range 16 {
+			all += asked("n01")
+			town.pass(DefaultTiming().Beat)
+		}
+		So(all, ShouldBeLessThan, 40)
+	})
 	Convey("A node that was cut off while others came and went is mended by digests, long after that was news", t, func() {
 		town := newTown(14)
 		town.pass(4 * time.Second)
