Let nodes say what is left of their leases, and answer them before it ends

Cause: a control primary that has just been elected knows nothing of the leases given before. It waited for whole ones, so that a set which was on its way got a moment 1.66 s after the election; no lease may reach past 2.4 s after the taking, so all nodes stood still from then to the moment.

Ruled out: the election (0.7 s after the processes were open, one disk blank), disks, nodes (all had asked 0.17 s after it).

Change: each ask tells what is left, and grants for earlier asks are nothing from then on; it was so for nodes without a lease only. An ask that goes two ways at once, as it may since nodes ask through a peer as well, promises nothing: its other copy may yet be granted by an earlier primary. An ask is answered 150 ms before the asker's lease ends, where a lease is to be had, and 50 ms after it came at the earliest.

Tests: TestPromisesOfNodes, seen failing with the word of nodes without a lease alone; TestAsksOfANodeWhosePrimaryIsSilent now also asks that two-way asks promise nothing. The test of late words of bare nodes holds for promises of nothing left.

--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -61,22 +61,29 @@
 	d.nodes[node] = held
 }
 
-// OnBare notes that a node holds no lease now, nor will by an earlier grant.
-func (d *Desk) OnBare(node string, now time.Duration) {
+// OnPromise notes that a node holds no lease past what it says is left, nor
+// will by an earlier grant.
+func (d *Desk) OnPromise(node string, left, now time.Duration) {
 	if held, isMet := d.nodes[node]; isMet {
-		held.until = min(held.until, now)
+		held.until = min(held.until, now+left+left*d.timing.Drift/100)
 		d.nodes[node] = held
 	}
 }
 
-// Grant gives the lease that goes with an answer, counted by the node from
-// when it sent the ask.
-func (d *Desk) Grant(node string, most, now time.Duration) time.Duration {
-	held := d.nodes[node]
+// Length is what a grant would give.
+func (d *Desk) Length(most, now time.Duration) time.Duration {
 	length := min(d.timing.Full, most)
 	if d.frozen != 0 {
 		length = max(min(length, d.frozen-now), 0)
 	}
+	return length
+}
+
+// Grant gives the lease that goes with an answer, counted by the node from
+// when it sent the ask.
+func (d *Desk) Grant(node string, most, now time.Duration) time.Duration {
+	held := d.nodes[node]
+	length := d.Length(most, now)
 	held.until = max(held.until, now+length)
 	d.nodes[node] = held
 	return length
@@ -197,14 +204,11 @@
 	return true
 }
 
-// Bare says whether no lease is held now; grants for asks sent before are then
+// Promise gives what is left of the lease; grants for asks sent before are
 // nothing from now on, so that the node may say so.
-func (h *Holder) Bare(now time.Duration) bool {
-	if h.IsHeld(now) {
-		return false
-	}
+func (h *Holder) Promise(now time.Duration) time.Duration {
 	h.cutAt = max(h.cutAt, now)
-	return true
+	return h.Left(now)
 }
 
 // IsHeld says whether the node may serve at this moment.
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -166,7 +166,7 @@
 	m.asks++
 	return steer.AskNews{
 		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, Reports: told.Reports, Highs: told.Highs,
-		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
+		Shows: current.Sequence, Number: m.asks, IsPromised: true, Left: m.holder.Promise(now),
 	}
 }
 
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -51,8 +51,10 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
-	// IsBare says that the node holds no lease, nor will by an earlier grant.
-	IsBare bool
+	// IsPromised says that the node holds no lease past Left, nor will by the
+	// answer to an earlier ask. One that goes two ways promises nothing.
+	IsPromised bool
+	Left       time.Duration
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -269,8 +271,8 @@
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
 		m.desk.OnAsk(ask.Node, ask.Have, now)
-		if ask.IsBare && !isLate && ask.Birth != 0 {
-			m.desk.OnBare(ask.Node, now)
+		if ask.IsPromised && !isLate && ask.Birth != 0 {
+			m.desk.OnPromise(ask.Node, ask.Left, now)
 		}
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
@@ -329,7 +331,7 @@
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait() || m.isShort(held, wall, now)
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -343,7 +345,7 @@
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
 			}
-			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
+			if m.mayLease(held.ask) {
 				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
