--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -182,7 +182,7 @@
 	m.asks++
 	return steer.AskNews{
 		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, Reports: told.Reports, Highs: told.Highs, Known: told.Known,
-		Shows: current.Sequence, Number: m.asks, IsDelta: true, IsBare: m.holder.Bare(now),
+		Shows: current.Sequence, Number: m.asks, IsDelta: true, IsPromised: true, Left: m.holder.Promise(now),
 	}
 }
 
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -60,8 +60,10 @@
 	Known uint64
 	// IsDelta says that the asker takes a Doc of what was written after Have.
 	IsDelta bool
-	// IsBare says that the node holds no lease, nor will by an earlier grant.
-	IsBare bool
+	// IsPromised says that the node holds no lease past Left, nor will by the
+	// answer to an earlier ask. One that goes two ways promises nothing.
+	IsPromised bool
+	Left       time.Duration
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -159,6 +161,8 @@
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
+	landedAt    time.Duration
+	tidiedAt    time.Duration
 	tenure      string
 	number      uint64
 	runs        uint64
@@ -200,6 +204,7 @@
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
+	m.landedAt, m.tidiedAt = 0, 0
 	m.clearSynced()
 }
 
@@ -323,8 +328,8 @@
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
 		m.desk.OnAsk(ask.Node, ask.Have, now)
-		if ask.IsBare && !isLate && ask.Birth != 0 {
-			m.desk.OnBare(ask.Node, now)
+		if ask.IsPromised && !isLate && ask.Birth != 0 {
+			m.desk.OnPromise(ask.Node, ask.Left, now)
 		}
 		if !isLate {
 			m.isWhole[ask.Node] = true
@@ -418,7 +423,7 @@
 		}
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait() || m.isShort(held, wall, now)
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -433,7 +438,7 @@
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
 			}
-			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
+			if m.mayLease(held.ask) {
 				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
@@ -633,9 +638,11 @@
 			return puts
 		}, Done: done}, true
 	}
-	if !m.doc.IsPending() || !m.desk.Settled(m.table.Records[SetKey(m.doc.Newest().Sequence)].Stamp, now) {
+	seen, isSettled := m.settledSets(now)
+	if !isSettled || (m.landedAt != 0 && now < m.landedAt+landPace) {
 		return Write{}, false
 	}
+	m.landedAt = now
 	earliest := m.desk.Latest(now) + m.timing.Margin
 	m.desk.Freeze(earliest)
 	if isFirst := m.doc.Sets[0].Moment == 0; isFirst {
@@ -643,10 +650,25 @@
 	}
 	m.isLand = true
 	moment := wall + int64(earliest-now)
-	seen, by := m.doc.Stamp, m.tenure
+	by := m.tenure
 	return Write{Build: func(held *table.Table) []table.Put { return setMoments(held, seen, moment, wall, by) }, Done: done}, true
 }
 
+// landPace lets sets that come in quick succession share a write.
+const landPace = 200 * time.Millisecond
+
+// settledSets gives the stamp up to which sets without a moment are held by each
+// node that may hold a lease.
+func (m *Machine) settledSets(now time.Duration) (table.Stamp, bool) {
+	for at := len(m.doc.Sets) - 1; at >= 0 && m.doc.Sets[at].Moment == 0; at-- {
+		stamp := m.table.Records[SetKey(m.doc.Sets[at].Sequence)].Stamp
+		if m.desk.Settled(stamp, now) {
+			return stamp, true
+		}
+	}
+	return table.Stamp{}, false
+}
+
 func (m *Machine) catchUp(wall int64) []view.Set {
 	if !slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return set.Moment > wall }) {
 		return nil
@@ -657,7 +679,7 @@
 	}
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
-		isAhead := set.Moment > wall
+		isAhead := set.Moment > wall+int64(lease.MostDoubt)
 		isOld := set.By != m.tenure && wall >= set.Due
 		if isAhead && (set.Sequence <= shown || isOld) {
 			set.Moment = 1
@@ -707,11 +729,13 @@
 	return append(puts, EntryPuts(held, wall, "bindings", what, "every leased node has taken it up")...)
 }
 
+const tidyPace = time.Second
+
 // Tidy gives the write that drops sets which every leased node has left
 // behind, if there are any.
 func (m *Machine) Tidy(wall int64, now time.Duration) (Write, bool) {
 	lowest := m.doc.Effective(wall).Sequence
-	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
+	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full && now >= m.tidiedAt+tidyPace
 	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
@@ -721,7 +745,7 @@
 	if m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
-	m.isTidy = true
+	m.isTidy, m.tidiedAt = true, now
 	return Write{Build: func(held *table.Table) []table.Put {
 		var puts []table.Put
 		for _, set := range view.DocOf(held).Sets {
--- a/pooler/transport/link/link_test.go
+++ b/pooler/transport/link/link_test.go
@@ -30,7 +30,7 @@
 		answering := New("far", far, crew, counts, func(from string, body any, answer func(any)) {
 			answer(goes.Answer{Standing: from + " asked " + body.(goes.Ask).Go})
 		})
-		asking := New("near", near, crew, &run.Counters{}, func(string, any, func(any)) {})
+		asking := New("near", near, crew, &run.Counters{}, func(_ string, _ any, answer func(any)) { answer(goes.Answer{}) })
 		So(answering.Listen(), ShouldBeNil)
 		So(asking.Listen(), ShouldBeNil)
 		Reset(func() {
@@ -38,6 +38,11 @@
 			answering.Close()
 			asking.Close()
 		})
+		// The engine below never ends if it is stopped before its listener runs.
+		for hub, address := range map[*Hub]string{answering: near, asking: far} {
+			_, err := hub.Call(address, goes.Ask{Go: "first"}, time.Minute)
+			So(err, ShouldBeNil)
+		}
 		ask := func() string {
 			reply, err := asking.Call(far, goes.Ask{Go: "x"}, 5*time.Second)
 			So(err, ShouldBeNil)
