Search every course of events of control's machines within bounds

Change: proof/search plays the machines with their gates and disks through all courses in which at most so many things go other than by default: messages lost, late or overtaken, machines killed, frozen or cut off, disks hanging, power lost around a sync, files torn, disks lost. States met before, by a hash, are not played again; the same shape gives the same counts. It holds one record an epoch, one primary at a time, epochs and votes that never go back, copies of what is acknowledged, and silence of a machine that forgot.

--- a/pooler/coordination/ballot/ballot.go
+++ b/pooler/coordination/ballot/ballot.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 )
 
@@ -63,6 +64,13 @@
 	}
 }
 
+// Clone copies the round.
+func (r *Round) Clone() *Round {
+	other := *r
+	other.promises, other.accepts = maps.Clone(r.promises), maps.Clone(r.accepts)
+	return &other
+}
+
 // OnPromise counts a promise; true once, when the value may be sent out. A
 // value accepted before takes the place of the candidate's own.
 func (r *Round) OnPromise(from string, accepted Number, value []byte) bool {
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -5,6 +5,7 @@
 package epoch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -354,6 +355,28 @@
 	return m
 }
 
+// Clone gives a machine in the same state, which shares with the first only
+// what neither changes.
+func (m *Machine) Clone() *Machine {
+	other := *m
+	if m.identity != nil {
+		identity := *m.identity
+		other.identity = &identity
+	}
+	if m.pending != nil {
+		pending := *m.pending
+		other.pending = &pending
+	}
+	if m.round != nil {
+		other.round = m.round.Clone()
+	}
+	other.formed, other.stands = maps.Clone(m.formed), maps.Clone(m.stands)
+	other.acks, other.mutes, other.walls = maps.Clone(m.acks), maps.Clone(m.mutes), maps.Clone(m.walls)
+	other.shunned, other.grantsBy = maps.Clone(m.shunned), maps.Clone(m.grantsBy)
+	other.queue, other.effects = slices.Clone(m.queue), nil
+	return &other
+}
+
 // Record gives the epoch record last known.
 func (m *Machine) Record() Record {
 	if m.outside != nil && m.identity == nil {
--- a/pooler/coordination/epoch/gate.go
+++ b/pooler/coordination/epoch/gate.go
@@ -27,15 +27,15 @@
 	held   []held
 	issued uint64
 	synced uint64
-	// ballots is the last save that votes rest on.
-	ballots uint64
-	isOut   bool
-	since   time.Duration
-	again   time.Duration
+	// votes is the last save that votes rest on.
+	votes uint64
+	isOut bool
+	since time.Duration
+	again time.Duration
 }
 
 func restless(*Gate) uint64     { return 0 }
-func onBallots(g *Gate) uint64  { return g.ballots }
+func onBallots(g *Gate) uint64  { return g.votes }
 func onAllFiles(g *Gate) uint64 { return g.issued }
 
 // What votes, grants and news of epochs rest on; all else rests on all files.
@@ -92,7 +92,7 @@
 	}
 	g.issued++
 	if kind != FileTable {
-		g.ballots = g.issued
+		g.votes = g.issued
 	}
 	last := len(g.tasks) - 1
 	isWaiting := last > 0 || (last == 0 && !g.isOut)
--- /dev/null
+++ b/proof/search/host.go
@@ -0,0 +1,346 @@
+package search
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"tansyseam.example/pooler/coordination/ballot"
+	"tansyseam.example/pooler/coordination/epoch"
+	"tansyseam.example/pooler/state/table"
+)
+
+type message struct {
+	from, to string
+	body     any
+}
+
+// files is what a disk holds; each value is replaced, never changed.
+type files struct {
+	identity []byte
+	ballots  *epoch.Ballots
+	table    []byte
+	keys     []string
+	// torn is the kind of the newest file that is unsound.
+	torn string
+}
+
+// host is one machine with its disk, and what is known of it from outside.
+type host struct {
+	name    string
+	machine *epoch.Machine
+	gate    *epoch.Gate
+	files   files
+	lives   int64
+	primacy time.Duration
+	public  []string
+	inbox   []message
+	isUp    bool
+	// isFrozen, isHung and isAlone: it does nothing, its disk does nothing, no
+	// message reaches or leaves it.
+	isFrozen, isHung, isAlone bool
+
+	// lagging is what a planted defect has not synced yet.
+	lagging  epoch.Effect
+	told     uint64
+	isWiped  bool
+	tellers  map[string]bool
+	forgets  uint64
+	promises map[uint64]ballot.Number
+	accepts  map[uint64]ballot.Number
+
+	printed   Key
+	printedAt time.Duration
+}
+
+func (h *host) clone() *host {
+	other := *h
+	other.printedAt = 0
+	if h.machine != nil {
+		other.machine, other.gate = h.machine.Clone(), h.gate.Clone()
+	}
+	other.inbox = slices.Clone(h.inbox)
+	other.tellers = maps.Clone(h.tellers)
+	other.promises, other.accepts = maps.Clone(h.promises), maps.Clone(h.accepts)
+	return &other
+}
+
+// key names what the host is and does at a moment.
+func (h *host) key(now time.Duration) Key {
+	if h.printedAt != now {
+		p := printer{now: now, data: make([]byte, 0, 4096)}
+		h.print(&p)
+		h.printed, h.printedAt = p.key(), now
+	}
+	return h.printed
+}
+
+func (h *host) print(p *printer) {
+	p.text(h.name)
+	for _, is := range []bool{h.isUp, h.isFrozen, h.isHung, h.isAlone, h.isWiped} {
+		p.flag(is)
+	}
+	p.moment(h.primacy)
+	p.number(uint64(h.lives))
+	p.number(h.told)
+	p.number(h.forgets)
+	p.value(h.public)
+	p.value(h.tellers)
+	p.value(h.promises)
+	p.value(h.accepts)
+	for _, one := range h.inbox {
+		p.message(one)
+	}
+	if h.isUp {
+		p.value(h.machine)
+		p.value(h.gate)
+	}
+	p.flag(h.lagging != nil)
+	p.text(h.files.torn)
+	p.value(h.files.ballots)
+	p.value(h.files.keys)
+	p.flag(h.files.identity == nil)
+}
+
+func (w *world) start(h *host) {
+	var saved epoch.Saved
+	if h.files.identity != nil {
+		saved.Identity = &epoch.Identity{}
+		must(table.Decode(h.files.identity, saved.Identity))
+	}
+	if h.files.ballots != nil {
+		ballots := *h.files.ballots
+		saved.Ballots = &ballots
+	}
+	if h.files.table != nil {
+		saved.Table = table.New()
+		must(table.Decode(h.files.table, saved.Table))
+		if saved.Table.Records == nil {
+			saved.Table.Records = map[string]table.Record{}
+		}
+	}
+	saved.IsUnsound = h.files.torn != ""
+	if w.shape.Plant.IsBlankVoting && saved.Identity == nil {
+		saved = w.founded(h.name)
+	}
+	if w.shape.Plant.IsWellAgain && saved.Ballots != nil {
+		saved.Ballots.IsLost = false
+	}
+	h.lives++
+	h.isUp, h.isFrozen, h.primacy, h.public, h.inbox = true, false, 0, nil, nil
+	h.machine = epoch.NewFounding(h.name, epoch.Founding{Disks: len(w.hosts), IsPaired: true}, epoch.DefaultTiming(), saved, w.now)
+	h.gate, h.public = &epoch.Gate{}, slices.Sorted(maps.Keys(h.machine.Table().Records))
+	w.effects(h, h.machine.Step(epoch.Peers{Names: w.names()}, w.now))
+}
+
+// stop ends a machine's program; what its disk was at is dropped, kept or torn.
+func (w *world) stop(h *host, end func(h *host, work epoch.Effect)) {
+	if work, isDue := h.gate.Next(w.now + epoch.Pause); isDue && end != nil {
+		end(h, work)
+	}
+	if w.asked == h.name {
+		w.asked = ""
+	}
+	h.machine, h.gate, h.isUp, h.isFrozen, h.inbox, h.primacy, h.public = nil, nil, false, false, nil, 0, nil
+	h.lagging = nil
+}
+
+func kept(h *host, work epoch.Effect) {
+	save, isSave := work.(epoch.Save)
+	if !isSave {
+		h.files.torn = ""
+		return
+	}
+	puts := map[string]func(){
+		epoch.FileIdentity: func() { h.files.identity = save.Data },
+		epoch.FileBallots: func() {
+			h.files.ballots = &epoch.Ballots{}
+			must(table.Decode(save.Data, h.files.ballots))
+		},
+		epoch.FileTable: func() {
+			held := table.New()
+			must(table.Decode(save.Data, held))
+			h.files.table, h.files.keys = save.Data, slices.Sorted(maps.Keys(held.Records))
+		},
+	}
+	puts[save.Kind]()
+	if h.files.torn == save.Kind {
+		h.files.torn = ""
+	}
+}
+
+func torn(h *host, work epoch.Effect) {
+	if save, isSave := work.(epoch.Save); isSave {
+		h.files.torn, h.told = save.Kind, 0
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (w *world) step(h *host, event any) {
+	w.effects(h, h.machine.Step(event, w.now))
+}
+
+func (w *world) effects(h *host, effects []epoch.Effect) {
+	if w.shape.Plant.IsUnsynced {
+		effects = slices.DeleteFunc(effects, func(effect epoch.Effect) bool {
+			save, isSave := effect.(epoch.Save)
+			isVote := isSave && save.Kind == epoch.FileBallots
+			if isVote {
+				h.lagging = save
+			}
+			return isVote
+		})
+	}
+	w.pass(h, h.gate.Pass(effects, w.now))
+	w.sync(h)
+}
+
+// sync lets the disk do all that is due.
+func (w *world) sync(h *host) {
+	for h.isUp && !h.isHung {
+		work, isDue := h.gate.Next(w.now)
+		if !isDue {
+			return
+		}
+		kept(h, work)
+		w.pass(h, h.gate.Done(true, w.now))
+	}
+}
+
+func (w *world) pass(h *host, effects []epoch.Effect) {
+	primacy := time.Duration(0)
+	if h.machine.IsPrimary(w.now) {
+		primacy = h.machine.Primacy()
+	}
+	h.primacy = min(h.primacy, primacy)
+	for _, effect := range effects {
+		w.carry(h, effect)
+	}
+	if !h.gate.IsTurning() {
+		h.primacy = primacy
+	}
+}
+
+func (w *world) carry(h *host, effect epoch.Effect) {
+	if send, isSend := effect.(epoch.Send); isSend {
+		w.watch(h, send.Body)
+		if write, isWrite := send.Body.(epoch.Write); isWrite && w.shape.Plant.IsHasty {
+			w.step(h, epoch.Heard{From: send.To, Body: epoch.WriteAck{Stamp: write.Stamp, IsSynced: true}})
+		}
+		w.post(message{from: h.name, to: send.To, body: send.Body})
+		return
+	}
+	if answer, isAnswer := effect.(epoch.Answer); isAnswer {
+		w.answered(h, answer)
+		return
+	}
+	if wrote, isWrote := effect.(epoch.Wrote); isWrote {
+		h.public = slices.Sorted(maps.Keys(wrote.Table.Records))
+		return
+	}
+	if turned, isTurned := effect.(epoch.Turned); isTurned {
+		h.public = slices.Sorted(maps.Keys(turned.Table.Records))
+		w.agreed(h, turned.Record)
+	}
+}
+
+func (w *world) answered(h *host, answer epoch.Answer) {
+	if h.name == w.asked {
+		w.asked = ""
+	}
+	if !answer.IsKept {
+		return
+	}
+	key := keyOf(answer.Token)
+	w.acked = append(slices.Clone(w.acked), key)
+	copies := 0
+	for _, other := range w.hosts {
+		if slices.Contains(other.files.keys, key) {
+			copies++
+		}
+	}
+	if copies+w.wipes < w.shape.Copies {
+		w.miss("%s acknowledged %s, which is synced on %d disks", h.name, key, copies)
+	}
+}
+
+func keyOf(token uint64) string { return fmt.Sprintf("w%d", token) }
+
+// agreed holds that an epoch has one record.
+func (w *world) agreed(h *host, record epoch.Record) {
+	old, isKnown := w.records[record.Epoch]
+	if isKnown && old != record {
+		w.miss("epoch %d has two records: %v, and at %s %v", record.Epoch, old, h.name, record)
+	}
+	if !isKnown {
+		w.records = maps.Clone(w.records)
+		w.records[record.Epoch] = record
+	}
+}
+
+// watch holds what a machine says to what it said before.
+func (w *world) watch(h *host, body any) {
+	if ack, isOne := body.(epoch.RenewAck); isOne {
+		w.rises(h, ack.Decided.Epoch)
+		if ack.IsGranted {
+			w.speaks(h, "grants")
+		}
+	}
+	if renew, isOne := body.(epoch.Renew); isOne {
+		w.rises(h, renew.Record.Epoch)
+	}
+	if told, isOne := body.(epoch.Decided); isOne {
+		w.rises(h, told.Record.Epoch)
+		w.agreed(h, told.Record)
+	}
+	if _, isOne := body.(epoch.Prepare); isOne {
+		w.speaks(h, "stands")
+	}
+	if promised, isOne := body.(epoch.Promised); isOne && promised.IsGiven {
+		w.voted(h, h.promises, promised.Epoch, promised.Number, true)
+	}
+	if accepted, isOne := body.(epoch.Accepted); isOne {
+		w.voted(h, h.accepts, accepted.Epoch, accepted.Number, false)
+	}
+	if accept, isOne := body.(epoch.Accept); isOne {
+		w.speaks(h, "stands")
+		w.recalls(h, accept.Epoch)
+	}
+}
+
+func (w *world) rises(h *host, number uint64) {
+	if number < h.told {
+		w.miss("%s tells epoch %d after %d", h.name, number, h.told)
+	}
+	h.told = max(h.told, number)
+}
+
+func (w *world) speaks(h *host, what string) {
+	if h.isWiped && len(h.tellers) <= len(w.hosts)/2 {
+		w.miss("%s, whose disk is blank, %s with %d told", h.name, what, len(h.tellers))
+	}
+}
+
+func (w *world) recalls(h *host, number uint64) {
+	if h.isWiped && number <= h.forgets {
+		w.miss("%s takes part in epoch %d, in which it may have done so before it lost its disk", h.name, number)
+	}
+}
+
+func (w *world) voted(h *host, told map[uint64]ballot.Number, number uint64, by ballot.Number, isPromise bool) {
+	w.speaks(h, "votes")
+	w.recalls(h, number)
+	if by.IsBefore(h.promises[number]) || by.IsBefore(h.accepts[number]) {
+		w.miss("%s votes for %v in epoch %d after %v and %v", h.name, by, number, h.promises[number], h.accepts[number])
+	}
+	if isPromise && by == h.promises[number] {
+		w.miss("%s promises %v in epoch %d twice", h.name, by, number)
+	}
+	told[number] = by
+}
