Ask again when a voter's grant lapses, and measure takeovers of control

Cause: a backup that stands just before a voter's grant to the lost primary lapses is refused, and its round then held it for 400 ms.

Ruled out: standing later from the first, which costs as much at each takeover.

Change: a refusal tells for how long what binds the voter still does (in place of WaitUntil, which nothing set); a round that is still asking is begun anew when the least of these has passed.

--- a/pooler/coordination/ballot/ballot.go
+++ b/pooler/coordination/ballot/ballot.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// IsAsking says that promises are still too few.
+func (r *Round) IsAsking() bool { return r.isAsking }
+
 // Clone copies the round.
 func (r *Round) Clone() *Round {
 	other := *r
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -104,16 +104,17 @@
 		Decided Record
 		Number  ballot.Number
 	}
-	// Promised gives or refuses it.
+	// Promised gives or refuses it. Wait tells for how long what binds the teller
+	// still does, where that is why.
 	Promised struct {
-		Epoch     uint64
-		Number    ballot.Number
-		IsGiven   bool
-		Higher    ballot.Number
-		Accepted  ballot.Number
-		Value     []byte
-		Decided   Record
-		WaitUntil time.Duration
+		Epoch    uint64
+		Number   ballot.Number
+		IsGiven  bool
+		Higher   ballot.Number
+		Accepted ballot.Number
+		Value    []byte
+		Decided  Record
+		Wait     time.Duration
 	}
 	// Accept asks to accept a record.
 	Accept struct {
@@ -313,6 +314,7 @@
 	roundFor  Record
 	roundNo   uint64
 	waitUntil time.Duration
+	retry     time.Duration
 	pending   *write
 	queue     []Submit
 	repairing *repair
@@ -537,6 +539,9 @@
 	if m.round != nil && now-m.round.Started > m.timing.Reply {
 		m.round = nil
 	}
+	if m.round != nil && m.round.IsAsking() && m.retry != 0 && now >= m.retry {
+		m.round, m.waitUntil = nil, now
+	}
 	if m.isNamed() {
 		m.tickPrimary(now)
 		return
--- a/pooler/coordination/epoch/epoch_test.go
+++ b/pooler/coordination/epoch/epoch_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam.example/pooler/coordination/ballot"
 	"tansyseam.example/pooler/state/table"
 )
 
@@ -165,3 +166,45 @@
 		So(published, ShouldEqual, 3)
 	})
 }
+
+func TestCandidateIsToldWhenToAskAgain(t *testing.T) {
+	Convey("A voter that has granted primacy lately refuses the backup and says for how long; the backup asks again then, and no sooner", t, func() {
+		start := time.Hour
+		backup, voter := started("c2", start), started("c3", start)
+		record, primacy := backup.Record(), DefaultTiming().Primacy
+		last := start + time.Second
+		backup.Step(Heard{From: "c1", Body: Renew{Record: record}}, last)
+		voter.Step(Heard{From: "c1", Body: Renew{Record: record}}, last+60*time.Millisecond)
+		first := backup.Step(Tick{Wall: 77}, last+primacy)
+		asked := sentBy[Prepare](first)
+		So(len(asked), ShouldEqual, 2)
+		refused := sentBy[Promised](voter.Step(Heard{From: "c2", Body: asked[0]}, last+primacy))
+		So(refused[0].IsGiven, ShouldBeFalse)
+		So(refused[0].Wait, ShouldEqual, 60*time.Millisecond)
+		backup.Step(Heard{From: "c3", Body: refused[0]}, last+primacy)
+		So(sentBy[Prepare](backup.Step(Tick{Wall: 77}, last+primacy+59*time.Millisecond)), ShouldBeEmpty)
+		again := sentBy[Prepare](backup.Step(Tick{Wall: 77}, last+primacy+60*time.Millisecond))
+		So(len(again), ShouldEqual, 2)
+		So(asked[0].Number.IsBefore(again[0].Number), ShouldBeTrue)
+		given := sentBy[Promised](voter.Step(Heard{From: "c2", Body: again[0]}, last+primacy+60*time.Millisecond))
+		So(given[0].IsGiven, ShouldBeTrue)
+	})
+	Convey("A voter that has just started says so too", t, func() {
+		voter := started("c3", time.Hour)
+		ask := Prepare{Decided: voter.Record(), Number: ballot.Number{Round: 1, Name: "c2"}}
+		refused := sentBy[Promised](voter.Step(Heard{From: "c2", Body: ask}, time.Hour+200*time.Millisecond))
+		So(refused[0].IsGiven, ShouldBeFalse)
+		So(refused[0].Wait, ShouldEqual, DefaultTiming().Primacy-200*time.Millisecond)
+	})
+	Convey("Once the round has been promised by a majority, a refusal does not end it", t, func() {
+		now := time.Hour + time.Second
+		backup := started("c2", time.Hour)
+		asked := sentBy[Prepare](backup.Step(Tick{Wall: 77}, now))[0]
+		promised := Promised{Epoch: 5, Number: asked.Number, Decided: backup.Record()}
+		refused := promised
+		refused.Wait, promised.IsGiven = 10*time.Millisecond, true
+		backup.Step(Heard{From: "c3", Body: promised}, now)
+		backup.Step(Heard{From: "c1", Body: refused}, now)
+		So(sentBy[Prepare](backup.Step(Tick{Wall: 77}, now+50*time.Millisecond)), ShouldBeEmpty)
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -378,7 +378,7 @@
 	number := ballot.Number{Round: m.roundNo, Name: m.self}
 	m.round = ballot.NewRound(number, len(m.Voters()), table.Encode(record), now)
 	m.roundFor = m.ballots.Decided
-	m.isUnsettled = true
+	m.isUnsettled, m.retry = true, 0
 	rank := slices.Index(m.Voters(), m.self)
 	m.waitUntil = now + m.timing.Reply/2 + time.Duration(rank)*m.timing.Reply/4
 	prepare := Prepare{Decided: m.ballots.Decided, Number: number}
@@ -403,6 +403,7 @@
 	isGranted := now < m.grantAt+m.timing.Primacy && m.grantTo != "" && m.grantTo != from
 	isFresh := now < m.started+m.timing.Primacy && from != decided.Primary
 	if !isEntitled || isGranted || isFresh || m.ballots.Muted > decided.Epoch {
+		answer.Wait = max(m.binds(isGranted, m.grantAt, now), m.binds(isFresh, m.started, now))
 		m.send(from, answer)
 		return
 	}
@@ -415,9 +416,20 @@
 	m.send(from, answer)
 }
 
+func (m *Machine) binds(isSo bool, since, now time.Duration) time.Duration {
+	if !isSo {
+		return 0
+	}
+	return since + m.timing.Primacy - now
+}
+
 func (m *Machine) onPromised(from string, promised Promised, now time.Duration) {
 	m.adopt(promised.Decided, now, "a voter is ahead")
 	m.roundNo = max(m.roundNo, promised.Higher.Round)
+	isCurrent := m.round != nil && promised.Number == m.round.Number
+	if isCurrent && !promised.IsGiven && promised.Wait > 0 && (m.retry == 0 || now+promised.Wait < m.retry) {
+		m.retry = now + promised.Wait
+	}
 	if m.round == nil || !promised.IsGiven || promised.Number != m.round.Number || promised.Epoch != m.roundFor.Epoch+1 {
 		return
 	}
--- a/proof/cmd/simulate/main.go
+++ b/proof/cmd/simulate/main.go
@@ -25,6 +25,7 @@
 	jobs := flag.Int("jobs", runtime.NumCPU(), "seeds played at once")
 	isMet := flag.Bool("met", false, "print how often each trouble met each phase")
 	isAdmission := flag.Bool("admission", false, "play the admission experiments and print their table")
+	isTakeover := flag.Bool("takeover", false, "lose control's primary in each way, over the seeds, and print how long it takes")
 	flag.Parse()
 	if *isAdmission {
 		admission(*from)
@@ -38,6 +39,9 @@
 		fmt.Fprintln(os.Stderr, "no such shape")
 		return 2
 	}
+	if *isTakeover {
+		return takeover(*from, *count, shape, *jobs)
+	}
 	if *replay != 0 {
 		result := sim.Run(*replay, shape, sim.Plant{}, func(format string, parts ...any) { fmt.Printf(format+"\n", parts...) })
 		show(result)
@@ -128,3 +132,18 @@
 		fmt.Printf("| %s | %.0f | %.0f | %s, %s | %s, %s | %s | %s |\n", o.Name, o.Capacity, o.Served, ms(o.Latency), ms(o.LatencyP99), ms(o.Wait), ms(o.WaitP99), strings.Join(windows, " "), strings.Join(served, " "))
 	}
 }
+
+func takeover(from, count uint64, shape sim.Shape, jobs int) int {
+	fmt.Println("| control machines | primary lost by | another has primacy: least, p50, p99, most ms | a write is kept: p50, p99, most ms | faults |")
+	fmt.Println("|---|---|---|---|---|")
+	ms := func(span time.Duration) string { return fmt.Sprintf("%.0f", span.Seconds()*1000) }
+	broken := 0
+	for _, loss := range sim.Losses() {
+		primacy, kept, faults := sim.MeasureTakeovers(from, count, shape, loss, jobs)
+		at := func(spans []time.Duration, q float64) string { return ms(sim.Quantile(spans, q)) }
+		fmt.Printf("| %d | %s | %s, %s, %s, %s | %s, %s, %s | %d |\n", shape.Controls, loss.Name,
+			at(primacy, 0), at(primacy, 0.5), at(primacy, 0.99), at(primacy, 1), at(kept, 0.5), at(kept, 0.99), at(kept, 1), faults)
+		broken += faults
+	}
+	return verdict(broken)
+}
