Give up a promotion once its lost call can take effect no more

Cause: a promote call without a clear answer, at an instance that then never returned, held its database for good: only refusals of every call counted.

Ruled out: a time after which a call is held to be over (the platform may be slow without bound); the status of others, which says nothing of a call under way.

The settings tell whether fences are checked, from the platform's own field. Where they are not, a call sent and not answered still holds the database until the instance is back or gone: no proof was found.

Tests, seen failing first: each of these, and a whole case in virtual time that goes on to another replica (never before, now within two calls). The template's test has the platform's field for fences, as the template names it now. The simulator's small fleets rely on fences, its large ones do not.

--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -16,6 +16,7 @@
 	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/takeover"
+	"tansyseam.example/pooler/protocol/door"
 	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
@@ -267,3 +268,20 @@
 		So(writer().Before, ShouldEqual, 3)
 	})
 }
+
+func TestCallThatIsNotSent(t *testing.T) {
+	Convey("A promote call to an address where nobody takes it is told as not sent", t, func() {
+		b := newBench(t, t.TempDir())
+		place := b.node.Place()
+		place.Platform = "127.0.0.1:1"
+		_, err := Promoter(b.node, func(door.Promotion) door.Request { return door.Request{Method: "POST", Path: "/"} })(place, "db", "i-1", "c1", 4)
+		So(errors.Is(err, ErrUnsent), ShouldBeTrue)
+		held := b.evidenceOf("db")
+		b.err = errors.WithType(errors.New("refused"), ErrUnsent)
+		b.promoteSynced(takeover.Promote{Database: "db", Instance: "i-1", Holder: "c1", Fence: 4})
+		<-b.promotes
+		b.node.Crew.Stop(5 * time.Second)
+		So(held.calls[0].isUnsent, ShouldBeTrue)
+		So(held.calls[0].fence, ShouldEqual, 4)
+	})
+}
--- a/pooler/cmd/control/orders.go
+++ b/pooler/cmd/control/orders.go
@@ -106,17 +106,20 @@
 	return reply
 }
 
+// ErrUnsent says that a call did not leave this machine.
+const ErrUnsent = errors.ConstError("call not sent")
+
 // Promoter makes the platform's one call, in the words that write gives.
 func Promoter(node *fleet.Node, write func(door.Promotion) door.Request) func(settings.Settings, string, string, string, uint64) (int, error) {
 	return func(place settings.Settings, database, instance, holder string, fence uint64) (int, error) {
 		client, err := web.NewClient(hostOf(place.Link), node.Crew)
 		if err != nil {
-			return 0, errors.Trace(err)
+			return 0, errors.WithType(errors.Trace(err), ErrUnsent)
 		}
 		defer client.Close()
 		session, err := client.Dial(place.Platform, time.Second, nil)
 		if err != nil {
-			return 0, errors.Trace(err)
+			return 0, errors.WithType(errors.Trace(err), ErrUnsent)
 		}
 		answer := session.AskAs(write(door.Promotion{Database: database, Instance: instance, Holder: holder, Fence: fence}), 2*time.Second)
 		session.Close()
--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/takeover"
@@ -27,7 +29,8 @@
 type Seams struct {
 	// Order gives an instance one of the stream package's orders.
 	Order func(address, database, instance, order string, term uint64, bound time.Duration) Reply
-	// Promote makes the platform's one call and gives the status answered.
+	// Promote makes the platform's one call and gives the status answered;
+	// ErrUnsent says that it did not leave this machine.
 	Promote func(place settings.Settings, database, instance, holder string, fence uint64) (status int, err error)
 }
 
@@ -105,8 +108,10 @@
 
 type made struct {
 	instance string
+	fence    uint64
 	at       time.Duration
 	status   int
+	isUnsent bool
 }
 
 // evidence is what this machine itself learned of a synced database; what it
@@ -142,7 +147,7 @@
 	defer c.mutex.Unlock()
 	held := c.evidenceOf(at.Database)
 	held.turn(episodeOf(at.Writer))
-	at.Self, at.Seen = c.node.Place().Name, map[string]takeover.Seen{}
+	at.Self, at.Seen, at.IsFenced = c.node.Place().Name, map[string]takeover.Seen{}, c.node.Place().IsFenced
 	for name, one := range held.looks {
 		if one.at == 0 {
 			continue
@@ -156,7 +161,9 @@
 		at.Seen[name] = seen
 	}
 	for _, call := range held.calls {
-		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
+		at.Calls = append(at.Calls, takeover.Call{
+			Instance: call.instance, Age: now - call.at, Status: call.status, Fence: call.fence, IsUnsent: call.isUnsent,
+		})
 	}
 }
 
@@ -251,7 +258,7 @@
 		return
 	}
 	c.node.Counts.Add("promote_calls", 1)
-	one := &made{instance: call.Instance, at: c.node.Now()}
+	one := &made{instance: call.Instance, fence: call.Fence, at: c.node.Now()}
 	c.mutex.Lock()
 	held := c.evidenceOf(call.Database)
 	held.calls = append(held.calls, one)
@@ -261,6 +268,7 @@
 		c.log.Info("promote call made", "database", call.Database, "instance", call.Instance, "fence", call.Fence, "status", status, "error", err)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
+		one.isUnsent = errors.Is(err, ErrUnsent)
 		if err == nil {
 			one.status = status
 		}
--- a/pooler/cmd/settings/settings.go
+++ b/pooler/cmd/settings/settings.go
@@ -67,6 +67,9 @@
 	Losses int
 	// IsFounder says that a machine with a blank disk may found the fleet.
 	IsFounder bool
+	// IsFenced says that the platform refuses promote calls of a lower fence than
+	// one that it has seen.
+	IsFenced bool
 	// SeedPort is the port of the seeds' links, where seeds names other doors
 	// of theirs.
 	SeedPort int
@@ -150,6 +153,7 @@
 	numberField("disks", "seamc", "number of disk machines that form the control plane", func(s *Settings) *int { return &s.Disks }),
 	numberField("losses", "seamc", "disk machines that may be lost at once, in place of disks", func(s *Settings) *int { return &s.Losses }),
 	boolField("founder", "seamc", "true where a blank disk may found the fleet", func(s *Settings) *bool { return &s.IsFounder }),
+	boolField("fenced", "seamc", "true where the platform checks the fences of promote calls", func(s *Settings) *bool { return &s.IsFenced }),
 	textField("manner", both, "way of speaking with the world outside; empty for the product's own", false, func(s *Settings) *string { return &s.Manner }),
 	textField("sessions", "seamd", "IP:port on which clients' line sessions are taken", false, func(s *Settings) *string { return &s.Sessions }),
 	numberField("seed_port", both, "port of the seeds' links, where seeds names other doors of theirs", func(s *Settings) *int { return &s.SeedPort }),
--- a/pooler/coordination/takeover/takeover.go
+++ b/pooler/coordination/takeover/takeover.go
@@ -60,6 +60,9 @@
 	Age time.Duration
 	// Status is 0 while, or where, no answer was read.
 	Status int
+	Fence  uint64
+	// IsUnsent says that it never left this machine.
+	IsUnsent bool
 }
 
 // Case is what the duty's holder decides on. Seen and Calls are its own.
@@ -86,6 +89,9 @@
 	Wall  int64
 	Seen  map[string]Seen
 	Calls []Call
+	// IsFenced says that the platform refuses calls of a lower fence than one that
+	// it has seen for the database.
+	IsFenced bool
 }
 
 // IsWhole says whether Bound covers every commit ever acknowledged.
@@ -482,7 +488,8 @@
 }
 
 func calling(at Case, writer view.Writer, what, why string) []any {
-	if writer.Holder != at.Self || writer.Fence == 0 {
+	isRepeated := at.IsFenced && at.Writer.Phase == view.PhaseIntent
+	if writer.Holder != at.Self || writer.Fence == 0 || isRepeated {
 		writer.Fence++
 		writer.Holder = at.Self
 	}
@@ -555,6 +562,7 @@
 }
 
 const (
+	statusDone     = 200
 	statusConflict = 409
 	statusTooMany  = 429
 )
@@ -576,7 +584,7 @@
 	waited := time.Duration(at.Wall - at.Writer.Since)
 	isGone := (isMet && sight.Instance.IsGone) || seen.IsGone
 	isDown := isSeen && !seen.IsAnswered && !seen.IsBusy
-	if isGone || (isDown && at.isRefused()) {
+	if isGone || (isDown && at.isOver(timing)) {
 		writer := view.CloneWriter(at.Writer)
 		writer.Phase, writer.Intent, writer.Calls, writer.Since, writer.Floor = view.PhaseClosing, "", 0, at.Wall, view.Position{}
 		return []any{Record{Writer: writer, What: "intent given up", Evidence: at.Writer.Intent + " is not running, and no call for it can take effect"}}
@@ -596,7 +604,24 @@
 	return effects
 }
 
-func (c Case) isRefused() bool {
-	isOther := func(call Call) bool { return call.Instance != c.Writer.Intent || call.Status != statusConflict }
-	return len(c.Calls) > 0 && len(c.Calls) >= c.Writer.Calls && !slices.ContainsFunc(c.Calls, isOther)
+// isOver says that no call for the intended instance, which is not running, can
+// take effect any more.
+func (c Case) isOver(timing Timing) bool {
+	last, isRefused := Call{}, false
+	for _, call := range c.Calls {
+		if call.Instance == c.Writer.Intent && call.Status == statusConflict {
+			last, isRefused = call, true
+		}
+	}
+	isBarred := c.IsFenced && isRefused && last.Fence == c.Writer.Fence
+	isOpen := func(call Call) bool {
+		if call.Instance != c.Writer.Intent {
+			return true
+		}
+		isPast := call.Status == statusDone && isRefused && call.Age >= last.Age+timing.Again
+		isBelow := isBarred && call.Status != statusDone && call.Fence < last.Fence
+		return !call.IsUnsent && !isPast && !isBelow && call.Status != statusConflict
+	}
+	isKnown := isBarred || len(c.Calls) >= c.Writer.Calls
+	return len(c.Calls) > 0 && isKnown && !slices.ContainsFunc(c.Calls, isOpen)
 }
--- a/pooler/coordination/takeover/takeover_test.go
+++ b/pooler/coordination/takeover/takeover_test.go
@@ -466,6 +466,102 @@
 	})
 }
 
+func TestUnknownOutcomeAtOneThatNeverReturns(t *testing.T) {
+	down := func(calls ...Call) Case {
+		one := intent(map[string]Seen{"b": failed()}, time.Second)
+		one.Calls, one.Writer.Calls = calls, len(calls)
+		return one
+	}
+	isGivenUp := func(one Case) bool {
+		writer, isRecorded := recorded(one)
+		return isRecorded && writer.Phase == view.PhaseClosing && writer.Intent == ""
+	}
+	fenced := func(calls ...Call) Case {
+		one := down(calls...)
+		one.IsFenced, one.Writer.Fence = true, calls[len(calls)-1].Fence
+		return one
+	}
+	lost := func(fence uint64) Call { return Call{Instance: "b", Age: 3 * time.Second, Fence: fence} }
+	answered := func(fence uint64, status int) Call {
+		return Call{Instance: "b", Age: 200 * time.Millisecond, Fence: fence, Status: status}
+	}
+	Convey("A call that never left this machine counts as refused", t, func() {
+		So(isGivenUp(down(Call{Instance: "b", IsUnsent: true}, answered(4, 409))), ShouldBeTrue)
+		So(isGivenUp(down(Call{Instance: "b", IsUnsent: true})), ShouldBeTrue)
+		So(isGivenUp(down(Call{Instance: "b"}, answered(4, 409))), ShouldBeFalse)
+	})
+	Convey("Where the platform checks fences, a refusal of a higher one shows that no earlier call takes effect any more, whoever made it", t, func() {
+		So(isGivenUp(fenced(lost(4), answered(5, 409))), ShouldBeTrue)
+		one := fenced(lost(4), answered(5, 409))
+		one.Calls, one.Writer.Calls = one.Calls[1:], 7
+		So(isGivenUp(one), ShouldBeTrue)
+		one = fenced(lost(4), answered(5, 409))
+		one.IsFenced = false
+		So(isGivenUp(one), ShouldBeFalse)
+	})
+	Convey("Not on a lower or equal fence, another answer, another instance's, nor while it answers", t, func() {
+		So(isGivenUp(fenced(lost(5), answered(5, 409))), ShouldBeFalse)
+		So(isGivenUp(fenced(answered(4, 409), lost(5))), ShouldBeFalse)
+		for _, status := range []int{0, 200, 429, 500} {
+			So(isGivenUp(fenced(lost(4), answered(5, status))), ShouldBeFalse)
+		}
+		one := fenced(lost(4), answered(5, 409))
+		one.Calls[1].Instance = "c"
+		So(isGivenUp(one), ShouldBeFalse)
+		one = fenced(lost(4), answered(5, 409))
+		one.Writer.Fence = 6
+		So(isGivenUp(one), ShouldBeFalse)
+		one = fenced(lost(4), answered(5, 409))
+		one.Seen["b"] = told(view.RoleReplica, 3, 99)
+		So(isGivenUp(one), ShouldBeFalse)
+		one.Seen["b"] = Seen{IsBusy: true, IsAfter: true, Age: 50 * time.Millisecond}
+		So(isGivenUp(one), ShouldBeFalse)
+	})
+	Convey("A call that was accepted is over once a much later one was refused: what it would bring about was due long before", t, func() {
+		accepted := Call{Instance: "b", Age: 200*time.Millisecond + DefaultTiming().Again, Fence: 4, Status: 200}
+		So(isGivenUp(down(accepted, answered(4, 409))), ShouldBeTrue)
+		accepted.Age -= time.Millisecond
+		So(isGivenUp(down(accepted, answered(4, 409))), ShouldBeFalse)
+	})
+	Convey("So that this can be shown, each further call has a higher fence where fences are checked, and else only with another holder", t, func() {
+		for _, isFenced := range []bool{true, false} {
+			one := intent(map[string]Seen{"b": failed()}, 2*time.Second)
+			one.Calls, one.IsFenced = []Call{lost(4)}, isFenced
+			call := effects[Promote](one)
+			So(len(call), ShouldEqual, 1)
+			So(call[0].Instance, ShouldEqual, "b")
+			So(call[0].Fence, ShouldEqual, map[bool]int{true: 5, false: 4}[isFenced])
+		}
+	})
+	Convey("A database whose promotion was lost goes on to another replica, in time, while the first never returns", t, func() {
+		now, lostFence := time.Duration(0), uint64(4)
+		one := intent(map[string]Seen{"b": failed(), "c": told(view.RoleReplica, 3, 99)}, time.Millisecond)
+		one.IsFenced, one.Calls = true, []Call{{Instance: "b", Fence: lostFence}}
+		chosen := ""
+		for ; now < 10*time.Second && chosen == ""; now += 50 * time.Millisecond {
+			one.Wall = wall + int64(now)
+			one.SettledFor = now
+			for _, effect := range Step(one, DefaultTiming()) {
+				if record, isRecord := effect.(Record); isRecord {
+					if record.Writer.Phase != view.PhaseIntent {
+						one.Calls = nil
+					}
+					one.Writer = record.Writer
+				}
+				if call, isCall := effect.(Promote); isCall {
+					status := map[bool]int{true: 409, false: 200}[call.Instance == "b"]
+					one.Calls = append(one.Calls, Call{Instance: call.Instance, Fence: call.Fence, Status: status})
+				}
+			}
+			if one.Writer.Phase == view.PhaseIntent && one.Writer.Intent != "b" {
+				chosen = one.Writer.Intent
+			}
+		}
+		So(chosen, ShouldEqual, "c")
+		So(now, ShouldBeLessThan, 2*DefaultTiming().Again+DefaultTiming().Patience)
+	})
+}
+
 func TestCeiling(t *testing.T) {
 	Convey("A leaving primary's own word after the settling bounds what was acknowledged, though a replica be gone and reports not whole", t, func() {
 		play := func(a Seen, b Seen) string {
--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -45,6 +45,8 @@
 	Controls, Nodes, Databases, Clients int
 	Connections, Slots                  int
 	Span, Tail                          time.Duration
+	// IsFenced says that control relies on the fences that the platform checks.
+	IsFenced bool
 	// Pace is the longest from one trouble to the next, 3 s where not given.
 	Pace time.Duration
 	// Only, where given, names the troubles that may come, and Longest is the
@@ -57,7 +59,7 @@
 
 // SmallLines is a fleet of synced instances with three control machines.
 func SmallLines() LineShape {
-	return LineShape{Controls: 3, Nodes: 3, Databases: 2, Clients: 20, Connections: 24, Slots: 6, Span: 20 * time.Second, Tail: 18 * time.Second}
+	return LineShape{IsFenced: true, Controls: 3, Nodes: 3, Databases: 2, Clients: 20, Connections: 24, Slots: 6, Span: 20 * time.Second, Tail: 18 * time.Second}
 }
 
 // LargeLines is one with five, and more nodes and troubles at once.
--- a/proof/sim/lines_control.go
+++ b/proof/sim/lines_control.go
@@ -34,6 +34,7 @@
 
 type madeCall struct {
 	instance string
+	fence    uint64
 	at       time.Duration
 	status   int
 }
@@ -98,7 +99,7 @@
 	now := c.clock()
 	held := c.evidenceOf(at.Database)
 	held.turn(episodeOf(at.Writer))
-	at.Self, at.Seen = c.name, map[string]takeover.Seen{}
+	at.Self, at.Seen, at.IsFenced = c.name, map[string]takeover.Seen{}, c.fleet.lines.size.IsFenced
 	for name, one := range held.looks {
 		if one.at != 0 {
 			seen := one.seen
@@ -107,7 +108,7 @@
 		}
 	}
 	for _, call := range held.calls {
-		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status})
+		at.Calls = append(at.Calls, takeover.Call{Instance: call.instance, Age: now - call.at, Status: call.status, Fence: call.fence})
 	}
 }
 
@@ -240,7 +241,7 @@
 // call makes the platform's one call.
 func (c *control) call(call takeover.Promote) {
 	l := c.fleet.lines
-	one := &madeCall{instance: call.Instance, at: c.clock()}
+	one := &madeCall{instance: call.Instance, fence: call.Fence, at: c.clock()}
 	held := c.evidenceOf(call.Database)
 	held.calls = append(held.calls, one)
 	c.world.note("%s calls for %s to lead %s, fence %d", c.name, call.Instance, call.Database, call.Fence)
--- a/proof/trial/fill_test.go
+++ b/proof/trial/fill_test.go
@@ -12,7 +12,7 @@
 func TestFill(t *testing.T) {
 	fields := map[string]any{
 		"node_name": "n", "zone": "z", "ip": "127.0.0.1", "internal_ports": []any{7440, 7455}, "data_path": "/d", "bootstrap": true,
-		"listen": map[string]any{"admin": "127.0.0.1:1", "readiness": "127.0.0.1:2", "sessions": "127.0.0.1:3"}, "survive": map[string]any{"machines": 1},
+		"listen": map[string]any{"admin": "127.0.0.1:1", "readiness": "127.0.0.1:2", "sessions": "127.0.0.1:3"}, "survive": map[string]any{"machines": 1}, "bounds": map[string]any{"fence_checked": true},
 		"cloud_api": map[string]any{"address": "127.0.0.1:4"}, "seed_nodes": []any{"127.0.0.1:5"},
 	}
 	Convey("Gaps are filled by path, plain and as JSON", t, func() {
--- a/proof/trial/trial.go
+++ b/proof/trial/trial.go
@@ -172,7 +172,7 @@
 			text, err := Fill(string(template), map[string]any{
 				"node_name": name, "zone": one.Zone, "ip": ip, "internal_ports": []any{link, link + 1}, "data_path": one.Data, "bootstrap": true,
 				"listen":  map[string]any{"admin": one.Door, "readiness": one.Door, "sessions": fmt.Sprint(ip, ":", wire)},
-				"survive": map[string]any{"machines": 1}, "cloud_api": map[string]any{"address": platformAt}, "seed_nodes": seeds,
+				"survive": map[string]any{"machines": 1}, "bounds": map[string]any{"fence_checked": true}, "cloud_api": map[string]any{"address": platformAt}, "seed_nodes": seeds,
 			})
 			if err != nil {
 				return err
