Forget a node's shows, runs and reports with the node

Cause: the control primary struck a node long without a lease from the record and the desk, but kept what it had shown, its runs and its reports for as long as it was primary: 116 entries more after 60 further nodes.

Ruled out: sets, raw bytes, entries and kept calls, which are pruned.

Change: all of these go with the node. The highest set that any node has shown, on which the moment of a set may rest, is kept as a number.

Tests, the first seen failing (195 entries held, 79 before; now no more than four above): a long life of sets, calls and nodes that come and go; thousands of routes with all versions kept within 128 MB; booked changes under steps of the time of day, with and without another primary, each once and in order, which held before.

Left: what nodes report of instances that were replaced is kept for as long as the node is known, and each node's past runs likewise.

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -131,6 +131,7 @@
 	reports     map[string]map[string]reported
 	highs       map[string]view.Position
 	shows       map[string]uint64
+	shown       uint64
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
@@ -164,7 +165,7 @@
 	m.tenure = ""
 	m.reports = map[string]map[string]reported{}
 	m.highs = map[string]view.Position{}
-	m.shows = map[string]uint64{}
+	m.shows, m.shown = map[string]uint64{}, 0
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
 	m.clearSynced()
@@ -213,6 +214,9 @@
 				delete(m.isEnrolling, node)
 				if !m.isKnown(node) {
 					m.desk.Forget(node)
+					delete(m.shows, node)
+					delete(m.births, node)
+					delete(m.reports, node)
 				}
 			}
 		},
@@ -275,6 +279,7 @@
 		}
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
+		m.shown = max(m.shown, ask.Shows)
 	}
 	m.waiters = append(m.waiters, waiter{ask: ask, token: token, came: now})
 }
@@ -555,15 +560,11 @@
 }
 
 func (m *Machine) catchUp(wall int64) []view.Set {
-	shown := uint64(0)
-	for _, sequence := range m.shows {
-		shown = max(shown, sequence)
-	}
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
 		isAhead := set.Moment > wall
 		isOld := set.By != m.tenure && wall >= set.Due
-		if isAhead && (set.Sequence <= shown || isOld) {
+		if isAhead && (set.Sequence <= m.shown || isOld) {
 			set.Moment = 1
 			moved = append(moved, set)
 		}
