--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/takeover"
@@ -27,7 +29,8 @@
 type Seams struct {
 	// Order gives an instance one of the stream package's orders.
 	Order func(address, database, instance, order string, term uint64, bound time.Duration) Reply
-	// Promote makes the platform's one call and gives the status answered.
+	// Promote makes the platform's one call and gives the status answered;
+	// ErrUnsent says that it did not leave this machine.
 	Promote func(place settings.Settings, database, instance, holder string, fence uint64) (status int, err error)
 }
 
@@ -100,6 +103,7 @@
 	if !isOne || answer.Takeover.Database != database {
 		return
 	}
+	answer.Takeover.IsFenced = c.node.Place().IsFenced
 	c.mutex.Lock()
 	at := c.holder.Show(answer.Takeover, c.node.Now())
 	c.mutex.Unlock()
@@ -182,8 +186,9 @@
 		c.log.Info("promote call made", "database", call.Database, "instance", call.Instance, "fence", call.Fence, "status", status, "error", err)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		if err == nil {
-			told(status)
+		if err != nil {
+			status = 0
 		}
+		told(status, errors.Is(err, ErrUnsent))
 	})
 }
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -5,6 +5,7 @@
 package epoch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -103,16 +104,17 @@
 		Decided Record
 		Number  ballot.Number
 	}
-	// Promised gives or refuses it.
+	// Promised gives or refuses it. Wait tells for how long what binds the teller
+	// still does, where that is why.
 	Promised struct {
-		Epoch     uint64
-		Number    ballot.Number
-		IsGiven   bool
-		Higher    ballot.Number
-		Accepted  ballot.Number
-		Value     []byte
-		Decided   Record
-		WaitUntil time.Duration
+		Epoch    uint64
+		Number   ballot.Number
+		IsGiven  bool
+		Higher   ballot.Number
+		Accepted ballot.Number
+		Value    []byte
+		Decided  Record
+		Wait     time.Duration
 	}
 	// Accept asks to accept a record.
 	Accept struct {
@@ -312,6 +314,7 @@
 	roundFor  Record
 	roundNo   uint64
 	waitUntil time.Duration
+	retry     time.Duration
 	pending   *write
 	queue     []Submit
 	repairing *repair
@@ -354,6 +357,28 @@
 	return m
 }
 
+// Clone gives a machine in the same state, which shares with the first only
+// what neither changes.
+func (m *Machine) Clone() *Machine {
+	other := *m
+	if m.identity != nil {
+		identity := *m.identity
+		other.identity = &identity
+	}
+	if m.pending != nil {
+		pending := *m.pending
+		other.pending = &pending
+	}
+	if m.round != nil {
+		other.round = m.round.Clone()
+	}
+	other.formed, other.stands = maps.Clone(m.formed), maps.Clone(m.stands)
+	other.acks, other.mutes, other.walls = maps.Clone(m.acks), maps.Clone(m.mutes), maps.Clone(m.walls)
+	other.shunned, other.grantsBy = maps.Clone(m.shunned), maps.Clone(m.grantsBy)
+	other.queue, other.effects = slices.Clone(m.queue), nil
+	return &other
+}
+
 // Record gives the epoch record last known.
 func (m *Machine) Record() Record {
 	if m.outside != nil && m.identity == nil {
@@ -514,6 +539,9 @@
 	if m.round != nil && now-m.round.Started > m.timing.Reply {
 		m.round = nil
 	}
+	if m.round != nil && m.round.IsAsking() && m.retry != 0 && now >= m.retry {
+		m.round, m.waitUntil = nil, now
+	}
 	if m.isNamed() {
 		m.tickPrimary(now)
 		return
@@ -632,7 +660,10 @@
 }
 
 func (m *Machine) reckon(now time.Duration) {
-	sent := []time.Duration{now}
+	var sent []time.Duration
+	if promised := m.ballots.Voter.Promised.Name; promised == "" || promised == m.self {
+		sent = append(sent, now)
+	}
 	m.others(func(name string) {
 		if at, isHeard := m.granted(name); isHeard {
 			sent = append(sent, at)
--- a/pooler/coordination/epoch/epoch_test.go
+++ b/pooler/coordination/epoch/epoch_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam.example/pooler/coordination/ballot"
 	"tansyseam.example/pooler/state/table"
 )
 
@@ -165,3 +166,89 @@
 		So(published, ShouldEqual, 3)
 	})
 }
+
+func TestCandidateIsToldWhenToAskAgain(t *testing.T) {
+	Convey("A voter that has granted primacy lately refuses the backup and says for how long; the backup asks again then, and no sooner", t, func() {
+		start := time.Hour
+		backup, voter := started("c2", start), started("c3", start)
+		record, primacy := backup.Record(), DefaultTiming().Primacy
+		last := start + time.Second
+		backup.Step(Heard{From: "c1", Body: Renew{Record: record}}, last)
+		voter.Step(Heard{From: "c1", Body: Renew{Record: record}}, last+60*time.Millisecond)
+		first := backup.Step(Tick{Wall: 77}, last+primacy)
+		asked := sentBy[Prepare](first)
+		So(len(asked), ShouldEqual, 2)
+		refused := sentBy[Promised](voter.Step(Heard{From: "c2", Body: asked[0]}, last+primacy))
+		So(refused[0].IsGiven, ShouldBeFalse)
+		So(refused[0].Wait, ShouldEqual, 60*time.Millisecond)
+		backup.Step(Heard{From: "c3", Body: refused[0]}, last+primacy)
+		So(sentBy[Prepare](backup.Step(Tick{Wall: 77}, last+primacy+59*time.Millisecond)), ShouldBeEmpty)
+		again := sentBy[Prepare](backup.Step(Tick{Wall: 77}, last+primacy+60*time.Millisecond))
+		So(len(again), ShouldEqual, 2)
+		So(asked[0].Number.IsBefore(again[0].Number), ShouldBeTrue)
+		given := sentBy[Promised](voter.Step(Heard{From: "c2", Body: again[0]}, last+primacy+60*time.Millisecond))
+		So(given[0].IsGiven, ShouldBeTrue)
+	})
+	Convey("A voter that has just started says so too", t, func() {
+		voter := started("c3", time.Hour)
+		ask := Prepare{Decided: voter.Record(), Number: ballot.Number{Round: 1, Name: "c2"}}
+		refused := sentBy[Promised](voter.Step(Heard{From: "c2", Body: ask}, time.Hour+200*time.Millisecond))
+		So(refused[0].IsGiven, ShouldBeFalse)
+		So(refused[0].Wait, ShouldEqual, DefaultTiming().Primacy-200*time.Millisecond)
+	})
+	Convey("Once the round has been promised by a majority, a refusal does not end it", t, func() {
+		now := time.Hour + time.Second
+		backup := started("c2", time.Hour)
+		asked := sentBy[Prepare](backup.Step(Tick{Wall: 77}, now))[0]
+		promised := Promised{Epoch: 5, Number: asked.Number, Decided: backup.Record()}
+		refused := promised
+		refused.Wait, promised.IsGiven = 10*time.Millisecond, true
+		backup.Step(Heard{From: "c3", Body: promised}, now)
+		backup.Step(Heard{From: "c1", Body: refused}, now)
+		So(sentBy[Prepare](backup.Step(Tick{Wall: 77}, now+50*time.Millisecond)), ShouldBeEmpty)
+	})
+}
+
+func TestPrimacyIsVotedAwayByNone(t *testing.T) {
+	now := time.Hour + 2*time.Second
+	timing := DefaultTiming()
+	number := ballot.Number{Round: 1, Name: "c2"}
+	held := func() *Machine {
+		m := started("c1", time.Hour)
+		m.Step(Tick{Wall: 77}, now)
+		m.Step(Heard{From: "c3", Body: RenewAck{Decided: m.Record(), Sent: now, Life: m.life, IsGranted: true}}, now)
+		So(m.IsPrimary(now), ShouldBeTrue)
+		return m
+	}
+	prepare := func(m *Machine) Heard {
+		return Heard{From: "c2", Body: Prepare{Decided: m.Record(), Number: number}}
+	}
+	Convey("A primary promises its backup nothing while it holds primacy, and says for how long", t, func() {
+		m := held()
+		answer := sentBy[Promised](m.Step(prepare(m), now+100*time.Millisecond))[0]
+		So(answer.IsGiven, ShouldBeFalse)
+		So(answer.Wait, ShouldEqual, timing.Primacy*9/10-100*time.Millisecond)
+		So(sentBy[Promised](m.Step(prepare(m), now+timing.Primacy))[0].IsGiven, ShouldBeTrue)
+	})
+	Convey("Once it has promised, its own grant counts no more", t, func() {
+		m := held()
+		later := now + timing.Primacy
+		m.Step(prepare(m), later)
+		m.Step(Heard{From: "c3", Body: RenewAck{Decided: m.Record(), Sent: later, Life: m.life, IsGranted: true}}, later)
+		m.Step(Tick{Wall: 77}, later+timing.Renew)
+		So(m.IsPrimary(later+timing.Renew), ShouldBeFalse)
+	})
+	Convey("A voter accepts nobody's record, promised or not, while its grant to another holds, nor just after its start", t, func() {
+		accept := func(from string) Heard {
+			return Heard{From: from, Body: Accept{Epoch: 5, Number: number, Value: []byte("x")}}
+		}
+		m := started("c3", time.Hour)
+		m.Step(Heard{From: "c1", Body: Renew{Record: m.Record()}}, now)
+		So(sentBy[Accepted](m.Step(accept("c2"), now+timing.Primacy-1)), ShouldBeEmpty)
+		So(sentBy[Accepted](m.Step(accept("c1"), now+timing.Primacy-1)), ShouldNotBeEmpty)
+		So(sentBy[Accepted](m.Step(accept("c2"), now+timing.Primacy)), ShouldNotBeEmpty)
+		m = started("c3", now)
+		So(sentBy[Accepted](m.Step(accept("c2"), now+timing.Primacy-1)), ShouldBeEmpty)
+		So(sentBy[Accepted](m.Step(accept("c2"), now+timing.Primacy)), ShouldNotBeEmpty)
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -378,7 +378,7 @@
 	number := ballot.Number{Round: m.roundNo, Name: m.self}
 	m.round = ballot.NewRound(number, len(m.Voters()), table.Encode(record), now)
 	m.roundFor = m.ballots.Decided
-	m.isUnsettled = true
+	m.isUnsettled, m.retry = true, 0
 	rank := slices.Index(m.Voters(), m.self)
 	m.waitUntil = now + m.timing.Reply/2 + time.Duration(rank)*m.timing.Reply/4
 	prepare := Prepare{Decided: m.ballots.Decided, Number: number}
@@ -400,9 +400,8 @@
 	decided := m.ballots.Decided
 	answer := Promised{Epoch: ask.Decided.Epoch + 1, Number: ask.Number, Decided: decided}
 	isEntitled := decided == ask.Decided && (from == decided.Primary || from == decided.Backup)
-	isGranted := now < m.grantAt+m.timing.Primacy && m.grantTo != "" && m.grantTo != from
-	isFresh := now < m.started+m.timing.Primacy && from != decided.Primary
-	if !isEntitled || isGranted || isFresh || m.ballots.Muted > decided.Epoch {
+	answer.Wait = m.bound(from, now)
+	if !isEntitled || answer.Wait > 0 || m.ballots.Muted > decided.Epoch {
 		m.send(from, answer)
 		return
 	}
@@ -415,9 +414,30 @@
 	m.send(from, answer)
 }
 
+// bound says for how long this machine votes for no such candidate: its grant
+// to another, or its own primacy, may still be relied on, or one that it has
+// forgotten with its last run.
+func (m *Machine) bound(candidate string, now time.Duration) time.Duration {
+	until := time.Duration(0)
+	if m.grantTo != "" && m.grantTo != candidate {
+		until = m.grantAt + m.timing.Primacy
+	}
+	if m.isNamed() {
+		until = max(until, m.primacy)
+	}
+	if candidate != m.ballots.Decided.Primary {
+		until = max(until, m.started+m.timing.Primacy)
+	}
+	return max(until-now, 0)
+}
+
 func (m *Machine) onPromised(from string, promised Promised, now time.Duration) {
 	m.adopt(promised.Decided, now, "a voter is ahead")
 	m.roundNo = max(m.roundNo, promised.Higher.Round)
+	isCurrent := m.round != nil && promised.Number == m.round.Number
+	if isCurrent && !promised.IsGiven && promised.Wait > 0 && (m.retry == 0 || now+promised.Wait < m.retry) {
+		m.retry = now + promised.Wait
+	}
 	if m.round == nil || !promised.IsGiven || promised.Number != m.round.Number || promised.Epoch != m.roundFor.Epoch+1 {
 		return
 	}
@@ -435,11 +455,11 @@
 	}
 }
 
-func (m *Machine) onAccept(from string, accept Accept, _ time.Duration) {
+func (m *Machine) onAccept(from string, accept Accept, now time.Duration) {
 	if m.identity == nil || !m.identity.IsFormed || m.isLost || accept.Epoch != m.ballots.Decided.Epoch+1 {
 		return
 	}
-	if m.ballots.Muted >= accept.Epoch || !m.ballots.Voter.Accept(accept.Number, accept.Value) {
+	if m.ballots.Muted >= accept.Epoch || m.bound(from, now) > 0 || !m.ballots.Voter.Accept(accept.Number, accept.Value) {
 		return
 	}
 	m.saveBallots()
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -158,6 +158,7 @@
 	isWhole     map[string]bool
 	highs       map[string]view.Position
 	shows       map[string]uint64
+	shown       uint64
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
@@ -201,7 +202,7 @@
 	m.reports, m.reportsOn = map[string]map[string]reported{}, map[string]map[string]bool{}
 	m.told, m.isWhole = map[string]time.Duration{}, map[string]bool{}
 	m.highs = map[string]view.Position{}
-	m.shows = map[string]uint64{}
+	m.shows, m.shown = map[string]uint64{}, 0
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
 	m.landedAt, m.tidiedAt = 0, 0
@@ -251,6 +252,7 @@
 				delete(m.isEnrolling, node)
 				if !m.isKnown(node) {
 					m.forget(node)
+					delete(m.births, node)
 				}
 			}
 		},
@@ -337,6 +339,7 @@
 		}
 		m.raise(ask.Highs)
 		m.shows[ask.Node] = ask.Shows
+		m.shown = max(m.shown, ask.Shows)
 	}
 	m.waiters = append(m.waiters, waiter{ask: ask, token: token, came: now, run: m.runs, isUnfit: isUnfit})
 }
@@ -673,15 +676,11 @@
 	if !slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return set.Moment > wall }) {
 		return nil
 	}
-	shown := uint64(0)
-	for _, sequence := range m.shows {
-		shown = max(shown, sequence)
-	}
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
 		isAhead := set.Moment > wall+int64(lease.MostDoubt)
 		isOld := set.By != m.tenure && wall >= set.Due
-		if isAhead && (set.Sequence <= shown || isOld) {
+		if isAhead && (set.Sequence <= m.shown || isOld) {
 			set.Moment = 1
 			moved = append(moved, set)
 		}
--- a/pooler/coordination/takeover/holder.go
+++ b/pooler/coordination/takeover/holder.go
@@ -127,10 +127,10 @@
 }
 
 // Call takes in that the promote call is made, and gives the function to be
-// told the status answered.
-func (h *Holder) Call(call Promote, now time.Duration) func(status int) {
+// told the status answered, and whether the call left this machine at all.
+func (h *Holder) Call(call Promote, now time.Duration) func(status int, isUnsent bool) {
 	held := h.of(call.Database)
-	one := &attempt{call: Call{Instance: call.Instance}, at: now}
+	one := &attempt{call: Call{Instance: call.Instance, Fence: call.Fence}, at: now}
 	held.attempts = append(held.attempts, one)
-	return func(status int) { one.call.Status = status }
+	return func(status int, isUnsent bool) { one.call.Status, one.call.IsUnsent = status, isUnsent }
 }
--- a/pooler/coordination/takeover/holder_test.go
+++ b/pooler/coordination/takeover/holder_test.go
@@ -54,7 +54,7 @@
 		h.Order(one, "c")(replica, now)
 		h.Recorded(Record{Writer: intent(nil, 0).Writer})
 		told(replica, now)
-		h.Call(Promote{Database: "db", Instance: "b"}, now)(200)
+		h.Call(Promote{Database: "db", Instance: "b"}, now)(200, false)
 		next := h.Show(intent(nil, 0), now)
 		So(next.Seen["b"].IsAfter, ShouldBeFalse)
 		So(next.Seen["c"].IsAfter, ShouldBeFalse)
@@ -63,7 +63,7 @@
 	Convey("A repeated call is of the same episode; the calls of one that is over are not shown", t, func() {
 		h := NewHolder("c1")
 		h.Show(intent(nil, 2*time.Second), now)
-		h.Call(Promote{Database: "db", Instance: "b"}, now)(409)
+		h.Call(Promote{Database: "db", Instance: "b"}, now)(409, false)
 		h.Show(intent(nil, time.Second), now)
 		h.Call(Promote{Database: "db", Instance: "b"}, now+time.Second)
 		So(h.Show(intent(nil, 0), now+time.Second).Calls, ShouldResemble, []Call{{Instance: "b", Age: time.Second, Status: 409}, {Instance: "b"}})
--- a/proof/sim/lines_control.go
+++ b/proof/sim/lines_control.go
@@ -43,6 +43,7 @@
 }
 
 func (c *control) decideTakeover(primary *control, at takeover.Case) {
+	at.IsFenced = c.fleet.lines.size.IsFenced
 	at = c.holder.Show(at, c.clock())
 	c.carryTakeover(primary, at, takeover.Step(at, takeover.DefaultTiming()))
 }
@@ -166,7 +167,7 @@
 	carry := func() {
 		status := l.promote(call)
 		c.world.note("the platform answers %d for %s", status, call.Instance)
-		c.world.send(&l.platform.machine, &c.machine, func() { told(status) })
+		c.world.send(&l.platform.machine, &c.machine, func() { told(status, false) })
 	}
 	c.world.send(&c.machine, &l.platform.machine, func() {
 		if l.isCut {
