List instances at a new control primary only as heard lately

Ruled out: the nodes (none had sent anything there before); the counts of announcements (a list has none, and they may begin anew with an instance).

Change: steer.Roster takes the instances with the time they were heard, and lists none heard more than a second before the tenure began, until it is heard again. What is not listed may still live, as before.

Tests: TestRoll, a new tenure; seen failing first. The tests of the roll tell the machine when each instance was heard; their asserts are as they were.

--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -76,12 +76,9 @@
 }
 
 func (c *Control) roster() {
-	var instances []view.Instance
-	for _, one := range c.node.Instances(5 * time.Minute) {
-		instances = append(instances, one.Instance)
-	}
+	heard := c.heard()
 	c.mutex.Lock()
-	isNew := c.steer.Roster(instances)
+	isNew := c.steer.Roster(heard)
 	c.mutex.Unlock()
 	if isNew {
 		c.flush()
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -82,14 +82,20 @@
 	turned   uint64
 }
 
-// Roster takes all instances known to this machine; those that are synced
+const lately = time.Second
+
+// Roster takes the instances as this machine heard them; those that are synced
 // make the roll, which gets a new number whenever one appears or changes in
-// more than its position. It gives true for a new number.
-func (m *Machine) Roster(instances []view.Instance) bool {
+// more than its position. It gives true for a new number. What was heard long
+// before this tenure is not listed: the nodes may have newer word of it.
+func (m *Machine) Roster(list []Heard) bool {
 	isMet, isNew := map[string]bool{}, false
-	for _, instance := range instances {
-		isMet[instance.Name] = true
-		isNew = m.Enlist(instance) || isNew
+	for _, one := range list {
+		if one.At < m.desk.Began()-lately {
+			continue
+		}
+		isMet[one.Instance.Name] = true
+		isNew = m.Enlist(one.Instance) || isNew
 	}
 	maps.DeleteFunc(m.roll, func(name string, _ listed) bool { return !isMet[name] })
 	return isNew
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/takeover"
 	"tansyseam.example/pooler/state/table"
@@ -29,29 +30,57 @@
 
 func (d *desk) takeover() takeover.Case { return d.Takeover("db", d.heardAll(), d.wall, d.now) }
 
+// roster tells the machine of instances that were just heard.
+func (d *desk) roster(instances ...view.Instance) bool {
+	var list []Heard
+	for _, one := range instances {
+		list = append(list, Heard{Instance: one, At: d.now})
+	}
+	return d.Roster(list)
+}
+
 func TestRoll(t *testing.T) {
+	Convey("A new tenure lists an instance as it was heard a moment ago at most, or since: what an earlier one told the nodes may be newer", t, func() {
+		d := newDesk(1, table.New())
+		d.roster(instance("a", view.RolePrimary), instance("b", view.RoleReplica))
+		old := []Heard{{Instance: instance("a", view.RolePrimary), At: d.now}, {Instance: instance("b", view.RoleReplica), At: d.now}}
+		d.Turn(epoch.Record{Epoch: 2, Primary: "c2"}, d.held, d.now)
+		d.pass(lately + time.Millisecond)
+		d.Turn(epoch.Record{Epoch: 3, Primary: "c1"}, d.held, d.now)
+		So(d.Roster(old), ShouldBeFalse)
+		old[0].At = d.now - lately
+		So(d.Roster(old), ShouldBeTrue)
+		So(len(d.roll), ShouldEqual, 1)
+		So(d.roll["a"].instance, ShouldResemble, rollOf(old[0].Instance))
+		d.pass(time.Minute)
+		leaving := instance("b", view.RoleReplica)
+		leaving.IsLeaving = true
+		So(d.Roster([]Heard{old[0], {Instance: leaving, At: d.now}}), ShouldBeTrue)
+		So(len(d.roll), ShouldEqual, 2)
+		So(d.roll["b"].instance.IsLeaving, ShouldBeTrue)
+	})
 	Convey("The roll's number rises when an instance appears or changes, not with repeats or positions, and is of synced instances only", t, func() {
 		d := newDesk(1, table.New())
 		first := instance("a", view.RolePrimary)
-		So(d.Roster([]view.Instance{first}), ShouldBeTrue)
+		So(d.roster(first), ShouldBeTrue)
 		again := first
 		again.Calls, again.Position, again.Term = 7, view.Position{Term: 3, Index: 9}, 3
-		So(d.Roster([]view.Instance{again}), ShouldBeFalse)
+		So(d.roster(again), ShouldBeFalse)
 		for _, change := range []func(*view.Instance){
 			func(i *view.Instance) { i.Address = "x:1" }, func(i *view.Instance) { i.Zone = "z" }, func(i *view.Instance) { i.Role = view.RoleReplica },
 			func(i *view.Instance) { i.IsLeaving = true }, func(i *view.Instance) { i.IsGone = true }, func(i *view.Instance) { i.Connections = 9 },
 			func(i *view.Instance) { i.Slots = 9 },
 		} {
 			change(&again)
-			So(d.Roster([]view.Instance{again}), ShouldBeTrue)
+			So(d.roster(again), ShouldBeTrue)
 		}
-		So(d.Roster([]view.Instance{again, instance("b", view.RoleReplica)}), ShouldBeTrue)
-		So(d.Roster([]view.Instance{again, instance("b", view.RoleReplica), {Name: "plain", Database: "x"}}), ShouldBeFalse)
+		So(d.roster(again, instance("b", view.RoleReplica)), ShouldBeTrue)
+		So(d.roster(again, instance("b", view.RoleReplica), view.Instance{Name: "plain", Database: "x"}), ShouldBeFalse)
 	})
 	Convey("An ask with an older roll, or one of another tenure, is answered at once with the whole; one that has it waits", t, func() {
 		d := newDesk(1, table.New())
 		d.ask("d1", table.Stamp{})
-		d.Roster([]view.Instance{instance("a", view.RolePrimary)})
+		d.roster(instance("a", view.RolePrimary))
 		asking := AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp}
 		d.Ask(asking, 1, d.now)
 		replies := d.Flush(true, d.wall, d.now)
@@ -61,7 +90,7 @@
 		asking.Roll = replies[0].News.Roll
 		d.Ask(asking, 2, d.now)
 		So(d.Flush(true, d.wall, d.now), ShouldBeEmpty)
-		d.Roster([]view.Instance{instance("a", view.RoleReplica)})
+		d.roster(instance("a", view.RoleReplica))
 		So(d.Flush(true, d.wall, d.now)[0].News.Instances[0].Role, ShouldEqual, view.RoleReplica)
 		asking.Roll = Roll{Tenure: "c9@1", Number: 2}
 		d.Ask(asking, 3, d.now)
@@ -79,10 +108,10 @@
 			return news.Roll, names
 		}
 		first, second := instance("a", view.RolePrimary), instance("b", view.RoleReplica)
-		d.Roster([]view.Instance{second, first})
+		d.roster(second, first)
 		early, names := told(Roll{})
 		So(names, ShouldResemble, []string{"a", "b"})
-		d.Roster([]view.Instance{first, second, instance("c", view.RoleReplica)})
+		d.roster(first, second, instance("c", view.RoleReplica))
 		second.IsLeaving = true
 		So(d.Enlist(second), ShouldBeTrue)
 		So(d.Enlist(second), ShouldBeFalse)
@@ -90,7 +119,7 @@
 		So(names, ShouldResemble, []string{"b", "c"})
 		_, names = told(Roll{Tenure: "c9@1", Number: early.Number})
 		So(names, ShouldResemble, []string{"a", "b", "c"})
-		d.Roster([]view.Instance{first, second})
+		d.roster(first, second)
 		d.Enlist(instance("d", view.RoleReplica))
 		_, names = told(Roll{})
 		SoMsg("what the control machine has forgotten is on no later roll", names, ShouldResemble, []string{"a", "b", "d"})
--- a/proof/scale/slopes_lines.go
+++ b/proof/scale/slopes_lines.go
@@ -214,7 +214,11 @@
 
 func rollOf(instances int) (Figure, error) {
 	machine := desk(lineTable(10, 930))
-	machine.Roster(syncedOf(instances / Copies))
+	var heard []steer.Heard
+	for _, instance := range syncedOf(instances / Copies) {
+		heard = append(heard, steer.Heard{Instance: instance, At: time.Hour})
+	}
+	machine.Roster(heard)
 	return newsAfter(machine)
 }
 
--- a/proof/sim/lines_server.go
+++ b/proof/sim/lines_server.go
@@ -146,9 +146,9 @@
 		return
 	}
 	c.heard[info.Name] = steer.Heard{Instance: info, At: c.clock()}
-	var list []view.Instance
+	var list []steer.Heard
 	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
-		list = append(list, c.heard[name].Instance)
+		list = append(list, c.heard[name])
 	}
 	if c.steer.Roster(list) {
 		c.flush()
--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -90,14 +90,16 @@
 	seeds := []struct {
 		why  string
 		seed uint64
+		size LineShape
 	}{
-		{"a late promote call of an earlier intent, of the same holder and fence, was taken", 8000170},
-		{"a primary that started again never had the others follow, and one that crashed while leaving never ended", 8000029},
+		{"a late promote call of an earlier intent, of the same holder and fence, was taken", 8000170, SmallLines()},
+		{"a primary that started again never had the others follow, and one that crashed while leaving never ended", 8000029, SmallLines()},
+		{"a control primary that took over listed an instance that leaves as it had heard it long before", 8001066, LargeLines()},
 	}
 	Convey("Seeds of lines on which a rule was broken once break none", t, func() {
 		for _, one := range seeds {
 			Convey(fmt.Sprintf("%d: %s", one.seed, one.why), func() {
-				So(RunLines(one.seed, SmallLines(), LinePlant{}, nil).Faults, ShouldBeEmpty)
+				So(RunLines(one.seed, one.size, LinePlant{}, nil).Faults, ShouldBeEmpty)
 			})
 		}
 	})
