Seek the duties by one machine of coordination, run by daemon and simulator

Cause: when to ask which databases there are, when a machine seeks a duty and asks for votes, and when it attends to a database stood in cmd/control and, in another form, in proof/sim/control.go. The two differed: in the simulator each machine sought every duty at all times, also beside a live holder; synced databases had a duty each, where the daemon has one for all; databases were known beforehand; the paces were 50 ms for 100, and 25 while a role moves.

Change: coordination/duty, pure: Due, Learn, Seek (with the effects Canvass and Attend), OnAsk, OnVote, Begin and End. cmd/control holds its lock around it and does the calls. The simulator's control machine runs it over its links, with the daemon's bounds, and carries the effects of both kinds of takeover out by one function. In the daemon a seeker's place among the voters now wraps around as was meant (a missing pair of brackets let it run past the last).

Tests: TestDuties, new.

--- a/pooler/cmd/control/calls.go
+++ b/pooler/cmd/control/calls.go
@@ -267,16 +267,12 @@
 	for name, stamp := range c.steer.Held(now) {
 		held = append(held, map[string]any{"node": name, "epoch": stamp.Epoch, "sequence": stamp.Sequence, "shows": c.steer.Shows(name)})
 	}
-	duties := []map[string]any{}
-	for name, seeker := range c.seekers {
-		duties = append(duties, map[string]any{"duty": seeker.Duty, "database": strings.TrimPrefix(name, "failover/"), "is_held": seeker.IsHeld(now), "seen_held_by": seeker.Holder()})
-	}
 	body := map[string]any{
 		"node": c.node.Place().Name, "kind": view.KindControl, "what": what,
 		"instances": instances, "writers": WritersOf(doc),
 		"epoch":   map[string]any{"epoch": record.Epoch, "primary": record.Primary, "backup": record.Backup},
 		"primacy": now < c.primacy, "stamp": map[string]any{"epoch": c.held.Epoch, "sequence": c.held.Sequence},
-		"leases": held, "duties": duties, "entries": entries, "voters": c.voters,
+		"leases": held, "duties": c.duty.Show(now), "entries": entries, "voters": c.voters,
 		"sets": ListOf(c.node.Place().Name, doc, doc.Effective(c.wallNow())),
 	}
 	c.mutex.Unlock()
--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -15,6 +15,7 @@
 	"tansyseam.example/pooler/cmd/fleet"
 	"tansyseam.example/pooler/cmd/settings"
 	"tansyseam.example/pooler/coordination/ballot"
+	"tansyseam.example/pooler/coordination/duty"
 	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/lease"
 	"tansyseam.example/pooler/coordination/member"
@@ -30,8 +31,6 @@
 // ErrFolder says that a data folder cannot be used.
 const ErrFolder = errors.ConstError("data folder cannot be used")
 
-const dutyTerm = 1200 * time.Millisecond
-
 // Control is the program's state.
 type Control struct {
 	node  *fleet.Node
@@ -44,28 +43,22 @@
 	disk      func(work func())
 	isRefused bool
 
-	mutex    sync.Mutex
-	answers  map[uint64]func(epoch.Answer)
-	token    uint64
-	steer    *steer.Machine
-	voters   []string
-	held     table.Stamp
-	primacy  time.Duration
-	wallAt   time.Duration
-	wall     int64
-	asks     map[uint64]func(any)
-	keeper   *ballot.Keeper
-	seekers  map[string]*ballot.Seeker
-	attended map[string]bool
-	holder   *takeover.Holder
-	known    msg.CaseAnswer
-	knownAt  time.Duration
-	seekAt   time.Duration
-	rollAt   time.Duration
-	peersAt  time.Duration
-	awayAt   time.Duration
-	isTold   bool
-	seams    Seams
+	mutex   sync.Mutex
+	answers map[uint64]func(epoch.Answer)
+	token   uint64
+	steer   *steer.Machine
+	voters  []string
+	held    table.Stamp
+	primacy time.Duration
+	wallAt  time.Duration
+	wall    int64
+	asks    map[uint64]func(any)
+	duty    *duty.Machine
+	holder  *takeover.Holder
+	rollAt  time.Duration
+	peersAt time.Duration
+	isTold  bool
+	seams   Seams
 }
 
 // Open reads the data folder and makes the program; seams tells, where given,
@@ -83,7 +76,7 @@
 	c := &Control{
 		node: node, log: node.Log, store: synced.NewStore(disk, 4), disk: func(work func()) { work() },
 		queue: make(chan func(), 4096), answers: map[uint64]func(epoch.Answer){},
-		asks: map[uint64]func(any){}, seekers: map[string]*ballot.Seeker{}, attended: map[string]bool{},
+		asks:   map[uint64]func(any){},
 		holder: takeover.NewHolder(place.Name),
 	}
 	if seams != nil {
@@ -98,7 +91,7 @@
 	}
 	now := node.Now()
 	c.machine = epoch.NewFounding(place.Name, founding(place), epoch.DefaultTiming(), saved, now)
-	c.keeper = ballot.NewKeeper(dutyTerm, now)
+	c.duty = duty.New(place.Name, now)
 	c.steer = steer.New(place.Name, leases(place), c.machine.Record(), c.machine.Table(), now)
 	node.Saw(c.machine.Record())
 	c.listen()
@@ -134,7 +127,7 @@
 	stage := run.NewStage(c.node.Crew, "disk", 1, 1, func(work func()) { work() })
 	c.disk = func(work func()) { stage.Offer(work) }
 	c.node.Crew.Loop(c.queue, beatPace, c.beat)
-	c.node.Crew.Loop(nil, hotPace, c.duties)
+	c.node.Crew.Loop(nil, duty.Pace, c.duties)
 }
 
 func (c *Control) listen() {
@@ -143,7 +136,7 @@
 	})
 	fleet.On(c.node, func(from string, ask ballot.Ask, answer func(any)) {
 		c.mutex.Lock()
-		vote := c.keeper.OnAsk(from, ask, c.node.Now())
+		vote := c.duty.OnAsk(from, ask, c.node.Now())
 		c.mutex.Unlock()
 		answer(vote)
 	})
--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -260,7 +260,7 @@
 		steps := func(isThere func() bool) bool {
 			for until := b.node.Now() + 5*time.Second; b.node.Now() < until; {
 				done := make(chan struct{})
-				b.node.Crew.Go(func() { b.attendTakeover("db"); close(done) })
+				b.node.Crew.Go(func() { b.alone("db", b.decideTakeover); close(done) })
 				for !run.Await(done, 5*time.Millisecond) {
 					b.work()
 				}
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"tansyseam.example/pooler/coordination/ballot"
+	"tansyseam.example/pooler/coordination/duty"
 	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/member"
@@ -16,48 +16,18 @@
 	"tansyseam.example/pooler/transport/web"
 )
 
-const (
-	seekPace  = 100 * time.Millisecond
-	hotPace   = 25 * time.Millisecond
-	learnPace = time.Second
-	awayPace  = 300 * time.Millisecond
-	// rollPace is the pace at which instances long unheard leave the roll.
-	rollPace = 10 * time.Second
-)
-
-// The duty of all synced databases is one.
-const syncedDuty = "takeover"
+// rollPace is the pace at which instances long unheard leave the roll.
+const rollPace = 10 * time.Second
 
 func (c *Control) duties() {
 	c.flush()
 	c.move()
 	c.tellTurn()
-	now := c.node.Now()
-	if now < c.seekAt {
-		return
-	}
-	c.seekAt = now + seekPace
-	if c.isMoving() {
-		c.seekAt = now + hotPace
-	}
-	if now >= c.knownAt+learnPace || c.isPrimary() {
-		c.knownAt = now
-		if answer, isOne := c.askCase(""); isOne {
-			c.known = answer
-		}
-	}
-	if now >= c.rollAt+rollPace {
+	if now := c.node.Now(); now >= c.rollAt+rollPace {
 		c.rollAt = now
 		c.roster()
 	}
-	for _, database := range c.known.Databases {
-		if !slices.Contains(c.known.Synced, database) {
-			c.seek("failover/"+database, func() { c.attend(database) })
-		}
-	}
-	if len(c.known.Synced) > 0 {
-		c.seek(syncedDuty, c.attendSynced)
-	}
+	c.seek()
 }
 
 func (c *Control) tellTurn() {
@@ -75,27 +45,40 @@
 	}
 }
 
-// isMoving says whether a writer role is on its way, so that each step of it
-// is taken as soon as it can be.
-func (c *Control) isMoving() bool {
+func (c *Control) seek() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, writer := range c.steer.Doc().Writers {
-		if writer.IsSynced && writer.Phase != view.PhaseOpen {
-			return true
+	at, now := c.situation(), c.node.Now()
+	isSeeking, isLearning := c.duty.Due(at, now)
+	c.mutex.Unlock()
+	if !isSeeking {
+		return
+	}
+	answer, isOne := msg.CaseAnswer{}, false
+	if isLearning {
+		answer, isOne = c.askCase("")
+	}
+	c.mutex.Lock()
+	if isOne {
+		c.duty.Learn(answer.Databases, answer.Synced)
+	}
+	effects := c.duty.Seek(at, c.node.Now())
+	c.mutex.Unlock()
+	for _, effect := range effects {
+		if canvass, isCanvass := effect.(duty.Canvass); isCanvass {
+			c.canvass(canvass)
+		}
+		if attend, isAttend := effect.(duty.Attend); isAttend {
+			c.attend(attend)
 		}
 	}
-	return false
 }
 
-func (c *Control) attendSynced() {
-	if !c.isPrimary() && c.node.Now() < c.awayAt+awayPace {
-		return
-	}
-	c.awayAt = c.node.Now()
-	for _, database := range c.known.Synced {
-		c.node.Crew.Go(func() { c.attendTakeover(database) })
+func (c *Control) situation() duty.Situation {
+	at := duty.Situation{IsPrimary: c.node.Now() < c.primacy, Voters: c.voters}
+	for _, writer := range c.steer.Doc().Writers {
+		at.IsMoving = at.IsMoving || (writer.IsSynced && writer.Phase != view.PhaseOpen)
 	}
+	return at
 }
 
 func (c *Control) askCase(database string) (msg.CaseAnswer, bool) {
@@ -112,42 +95,14 @@
 	return answer, err == nil && isOne && answer.IsPrimary
 }
 
-func (c *Control) seek(duty string, act func()) {
-	now := c.node.Now()
-	isPrimary := c.isPrimary()
-	c.mutex.Lock()
-	voters := c.voters
+func (c *Control) canvass(canvass duty.Canvass) {
 	self := c.node.Place().Name
-	seeker, isKnown := c.seekers[duty]
-	if rank := slices.Index(voters, self); !isKnown && rank >= 0 {
-		seeker = ballot.NewSeeker(duty, len(voters), rank+len(c.seekers)%len(voters), dutyTerm)
-		c.seekers[duty] = seeker
-	}
-	if seeker == nil {
-		c.mutex.Unlock()
-		return
-	}
-	ask, isDue := ballot.Ask{}, false
-	if isPrimary || c.keeper.Idle(duty, now) > 2*dutyTerm {
-		ask, isDue = seeker.Tick(now)
-	}
-	isHeld := seeker.IsHeld(now)
-	c.mutex.Unlock()
-	if isDue {
-		c.canvass(seeker, ask, voters, self)
-	}
-	if isHeld {
-		act()
-	}
-}
-
-func (c *Control) canvass(seeker *ballot.Seeker, ask ballot.Ask, voters []string, self string) {
-	for _, name := range voters {
+	for _, name := range canvass.Voters {
 		if name == self {
 			c.mutex.Lock()
-			vote := c.keeper.OnAsk(self, ask, c.node.Now())
+			vote := c.duty.OnAsk(self, canvass.Ask, c.node.Now())
 			c.mutex.Unlock()
-			c.onVote(seeker, self, vote)
+			c.onVote(self, vote)
 			continue
 		}
 		node, isKnown := c.node.Find(name)
@@ -155,42 +110,45 @@
 			continue
 		}
 		c.node.Crew.Go(func() {
-			reply, err := c.node.Hub.Call(node.Link, ask, 300*time.Millisecond)
+			reply, err := c.node.Hub.Call(node.Link, canvass.Ask, 300*time.Millisecond)
 			if vote, isOne := reply.(ballot.Vote); err == nil && isOne {
-				c.onVote(seeker, name, vote)
+				c.onVote(name, vote)
 			}
 		})
 	}
 }
 
-func (c *Control) onVote(seeker *ballot.Seeker, from string, vote ballot.Vote) {
+func (c *Control) onVote(from string, vote ballot.Vote) {
 	c.mutex.Lock()
-	isWon := seeker.OnVote(from, vote, c.node.Now())
+	isWon := c.duty.OnVote(from, vote, c.node.Now())
 	c.mutex.Unlock()
 	if isWon {
 		c.node.Counts.Add("duties_won", 1)
-		c.log.Info("duty won", "duty", seeker.Duty)
+		c.log.Info("duty won", "duty", vote.Duty)
 	}
 }
 
-func (c *Control) alone(database string, act func()) {
+func (c *Control) attend(attend duty.Attend) {
+	decide := c.decide
+	if attend.IsSynced {
+		decide = c.decideTakeover
+	}
+	c.node.Crew.Go(func() { c.alone(attend.Database, decide) })
+}
+
+func (c *Control) alone(database string, act func(database string)) {
 	c.mutex.Lock()
-	isUnderWay := c.attended[database]
-	c.attended[database] = true
+	isFree := c.duty.Begin(database)
 	c.mutex.Unlock()
-	if isUnderWay {
+	if !isFree {
 		return
 	}
 	defer func() {
 		c.mutex.Lock()
-		delete(c.attended, database)
-		c.mutex.Unlock()
+		defer c.mutex.Unlock()
+		c.duty.End(database)
 	}()
-	act()
-}
-
-func (c *Control) attend(database string) {
-	c.node.Crew.Go(func() { c.alone(database, func() { c.decide(database) }) })
+	act(database)
 }
 
 func (c *Control) decide(database string) {
--- a/pooler/cmd/control/takeovers.go
+++ b/pooler/cmd/control/takeovers.go
@@ -91,10 +91,6 @@
 	c.steer.Covers(mark)
 }
 
-func (c *Control) attendTakeover(database string) {
-	c.alone(database, func() { c.decideTakeover(database) })
-}
-
 func (c *Control) decideTakeover(database string) {
 	answer, isOne := c.askCase(database)
 	if !isOne || answer.Takeover.Database != database {
--- a/proof/sim/control.go
+++ b/proof/sim/control.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"tansyseam.example/pooler/coordination/ballot"
+	"tansyseam.example/pooler/coordination/duty"
 	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/failover"
 	"tansyseam.example/pooler/coordination/lease"
@@ -12,27 +12,25 @@
 	"tansyseam.example/pooler/coordination/takeover"
 	"tansyseam.example/pooler/state/synced"
 	"tansyseam.example/pooler/state/table"
+	"tansyseam.example/pooler/state/view"
 )
 
-const dutyTerm = 1200 * time.Millisecond
-
 type control struct {
 	machine
-	fleet  *fleet
-	disk   *disk
-	store  *synced.Store
-	epoch  *epoch.Machine
-	steer  *steer.Machine
-	keeper *ballot.Keeper
-	seek   map[string]*ballot.Seeker
-	heard  map[string]steer.Heard
+	fleet *fleet
+	disk  *disk
+	store *synced.Store
+	epoch *epoch.Machine
+	steer *steer.Machine
+	duty  *duty.Machine
+	heard map[string]steer.Heard
 
 	gate    epoch.Gate
 	primacy time.Duration
 	answers map[uint64]func(epoch.Answer)
 	token   uint64
 	asks    map[uint64]func(steer.News)
-	isAsked map[string]bool
+	errands map[string]int
 	crashAt int
 
 	holder *takeover.Holder
@@ -43,9 +41,8 @@
 	c.gate, c.primacy = epoch.Gate{}, 0
 	c.answers = map[uint64]func(epoch.Answer){}
 	c.asks = map[uint64]func(steer.News){}
-	c.seek = map[string]*ballot.Seeker{}
 	c.heard = map[string]steer.Heard{}
-	c.isAsked = map[string]bool{}
+	c.errands = map[string]int{}
 	c.holder = takeover.NewHolder(c.name)
 	c.store = synced.NewStore(c.disk, 4)
 	saved, err := epoch.Load(c.store, func(kind string, passed int) { c.world.note("%s passed over %d %s", c.name, passed, kind) })
@@ -57,7 +54,7 @@
 	now := c.clock()
 	c.epoch = epoch.NewFounding(c.name, epoch.Founding{Disks: len(c.fleet.controls), IsPaired: true}, epoch.DefaultTiming(), saved, now)
 	c.steer = steer.New(c.name, lease.DefaultTiming(), c.epoch.Record(), c.epoch.Table(), now)
-	c.keeper = ballot.NewKeeper(dutyTerm, now)
+	c.duty = duty.New(c.name, now)
 	c.world.note("%s up", c.name)
 	c.do(time.Millisecond, c.beat)
 	c.do(5*time.Millisecond, c.duties)
@@ -202,99 +199,155 @@
 }
 
 func (c *control) duties() {
-	c.do(50*time.Millisecond, c.duties)
+	c.do(duty.Pace, c.duties)
 	c.flush()
 	c.move()
-	for _, database := range c.fleet.databases {
-		c.seekDuty(database)
+	at := c.situation()
+	isSeeking, isLearning := c.duty.Due(at, c.clock())
+	if !isSeeking {
+		return
+	}
+	primary := c.fleet.controlBy(c.epoch.Record().Primary)
+	if !isLearning || primary == nil {
+		c.seek(at)
+		return
 	}
+	if primary == c {
+		c.duty.Learn(c.databases())
+		c.seek(at)
+		return
+	}
+	c.world.send(&c.machine, &primary.machine, func() {
+		if !primary.isPrimary() {
+			return
+		}
+		databases, synced := primary.databases()
+		c.world.send(&primary.machine, &c.machine, func() { c.duty.Learn(databases, synced) })
+	})
+	c.seek(at)
 }
 
-func (c *control) seekDuty(database string) {
-	voters := c.epoch.Voters()
-	if len(voters) == 0 {
-		return
+func (c *control) situation() duty.Situation {
+	at := duty.Situation{IsPrimary: c.isPrimary(), Voters: c.epoch.Voters()}
+	for _, writer := range c.steer.Doc().Writers {
+		at.IsMoving = at.IsMoving || (writer.IsSynced && writer.Phase != view.PhaseOpen)
 	}
-	seeker := c.seek[database]
-	if seeker == nil {
-		rank := slices.Index(voters, c.name)
-		seeker = ballot.NewSeeker("failover/"+database, len(voters), (rank+len(c.seek))%len(voters), dutyTerm)
-		c.seek[database] = seeker
+	return at
+}
+
+// databases names those that this machine knows of, and the synced ones.
+func (c *control) databases() (all, synced []string) {
+	heard := c.heardList()
+	all = c.steer.Databases(heard)
+	for _, database := range all {
+		if c.steer.IsSynced(database, heard) {
+			synced = append(synced, database)
+		}
 	}
-	if ask, isDue := seeker.Tick(c.clock()); isDue {
-		for _, other := range c.fleet.controls {
-			c.world.send(&c.machine, &other.machine, func() {
-				vote := other.keeper.OnAsk(c.name, ask, other.clock())
-				c.world.send(&other.machine, &c.machine, func() {
-					if seeker.OnVote(other.name, vote, c.clock()) {
-						c.world.note("%s won %s", c.name, seeker.Duty)
-					}
-				})
-			})
+	return all, synced
+}
+
+func (c *control) seek(at duty.Situation) {
+	for _, effect := range c.duty.Seek(at, c.clock()) {
+		if canvass, isCanvass := effect.(duty.Canvass); isCanvass {
+			c.canvass(canvass)
+		}
+		if attend, isAttend := effect.(duty.Attend); isAttend && c.duty.Begin(attend.Database) {
+			c.attend(attend)
 		}
 	}
-	if seeker.IsHeld(c.clock()) && !c.isAsked[database] {
-		c.attends(database)
+}
+
+func (c *control) canvass(canvass duty.Canvass) {
+	for _, name := range canvass.Voters {
+		voter := c.fleet.controlBy(name)
+		c.world.send(&c.machine, &voter.machine, func() {
+			vote := voter.duty.OnAsk(c.name, canvass.Ask, voter.clock())
+			c.world.send(&voter.machine, &c.machine, func() {
+				if c.duty.OnVote(voter.name, vote, c.clock()) {
+					c.world.note("%s won %s", c.name, vote.Duty)
+				}
+			})
+		})
 	}
 }
 
-func (c *control) attends(database string) {
-	if c.fleet.lines != nil {
-		c.takeover(database)
-		return
+// hold waits for an answer about a database that is attended to, for a bound;
+// what it gives says whether the answer came in time.
+func (c *control) hold(database string, bound time.Duration) (isInTime func() bool) {
+	c.errands[database]++
+	number := c.errands[database]
+	isInTime = func() bool {
+		isSame := c.errands[database] == number
+		if isSame {
+			c.errands[database]++
+		}
+		return isSame
 	}
-	c.attend(database)
+	c.do(bound, func() {
+		if isInTime() {
+			c.duty.End(database)
+		}
+	})
+	return isInTime
 }
 
-func (c *control) attend(database string) {
+const (
+	caseBound   = 300 * time.Millisecond
+	recordBound = 2 * time.Second
+)
+
+func (c *control) attend(attend duty.Attend) {
+	database := attend.Database
 	primary := c.fleet.controlBy(c.epoch.Record().Primary)
 	if primary == nil {
+		c.duty.End(database)
 		return
 	}
-	c.isAsked[database] = true
-	c.do(400*time.Millisecond, func() { c.isAsked[database] = false })
+	isInTime := c.hold(database, caseBound)
 	c.world.send(&c.machine, &primary.machine, func() {
 		if !primary.isPrimary() {
 			return
 		}
-		at := primary.steer.Case(database, primary.heardList(), primary.wallNow(), primary.clock())
+		heard := primary.heardList()
+		var decide func()
+		if attend.IsSynced {
+			at := primary.steer.Takeover(database, heard, primary.wallNow(), primary.clock())
+			decide = func() { c.decideTakeover(primary, at) }
+		} else {
+			at := primary.steer.Case(database, heard, primary.wallNow(), primary.clock())
+			decide = func() { c.decide(primary, at) }
+		}
 		c.world.send(&primary.machine, &c.machine, func() {
-			c.isAsked[database] = false
-			c.decide(primary, at)
+			if isInTime() {
+				decide()
+			}
 		})
 	})
 }
 
-func (c *control) heardList() []steer.Heard {
-	var list []steer.Heard
-	for _, one := range c.fleet.instances {
-		if heard, isHeard := c.heard[one.name]; isHeard {
-			list = append(list, heard)
+// carryAll carries effects out in order; what follows a record waits until
+// that is kept.
+func (c *control) carryAll(primary *control, database string, before view.Writer, isKnown bool, effects []any, act func(any), recorded func(failover.Record)) {
+	for rank, effect := range effects {
+		record, isRecord := effect.(failover.Record)
+		if !isRecord {
+			act(effect)
+			continue
 		}
+		rest := effects[rank+1:]
+		c.record(primary, database, before, isKnown, record, func() {
+			recorded(record)
+			c.carryAll(primary, database, before, isKnown, rest, act, recorded)
+		})
+		return
 	}
-	return list
+	c.duty.End(database)
 }
 
-func (c *control) decide(primary *control, at failover.Case) {
-	effects := failover.Step(at, failover.DefaultTiming())
-	if len(effects) == 0 {
-		return
-	}
-	record, isRecord := effects[0].(failover.Record)
-	if !isRecord {
-		return
-	}
-	if c.fleet.plant.IsWorstReplica && len(effects) == 2 {
-		worst := slices.MinFunc(at.Sights, func(a, b failover.Sight) int {
-			isFirst := a.Instance.Name != at.Writer.Primary && (b.Instance.Name == at.Writer.Primary || a.Instance.Position.IsBefore(b.Instance.Position))
-			return map[bool]int{true: -1, false: 1}[isFirst]
-		}).Instance.Name
-		record.Writer.Intent = worst
-		effects[1] = failover.Promote{Database: at.Database, Instance: worst, Term: at.Writer.Term + 1}
-	}
-	ask := steer.RecordCase{Before: at.Writer, IsKnown: at.IsKnown, After: record.Writer, What: record.What, Evidence: record.Evidence, By: c.name}
-	c.isAsked[at.Database] = true
-	c.do(2*time.Second, func() { c.isAsked[at.Database] = false })
+func (c *control) record(primary *control, database string, before view.Writer, isKnown bool, record failover.Record, then func()) {
+	ask := steer.RecordCase{Before: before, IsKnown: isKnown, After: record.Writer, What: record.What, Evidence: record.Evidence, By: c.name}
+	isInTime := c.hold(database, recordBound)
 	c.world.send(&c.machine, &primary.machine, func() {
 		if !primary.isPrimary() {
 			return
@@ -307,17 +360,47 @@
 		}, func(done epoch.Answer) {
 			isKept := done.IsKept && isTaken
 			c.world.send(&primary.machine, &c.machine, func() {
-				c.isAsked[at.Database] = false
-				if !isKept {
+				if !isInTime() {
 					return
 				}
-				c.world.note("%s records %s: %s (%s)", c.name, at.Database, record.What, record.Evidence)
-				for _, effect := range effects[1:] {
-					if promote, isOne := effect.(failover.Promote); isOne {
-						c.fleet.platform.promote(c, promote)
-					}
+				if !isKept {
+					c.duty.End(database)
+					return
 				}
+				c.world.note("%s records %s: %s (%s)", c.name, database, record.What, record.Evidence)
+				then()
 			})
 		})
 	})
 }
+
+func (c *control) heardList() []steer.Heard {
+	var list []steer.Heard
+	for _, name := range c.fleet.instanceNames() {
+		if heard, isHeard := c.heard[name]; isHeard {
+			list = append(list, heard)
+		}
+	}
+	return list
+}
+
+func (c *control) decide(primary *control, at failover.Case) {
+	effects := failover.Step(at, failover.DefaultTiming())
+	if c.fleet.plant.IsWorstReplica && len(effects) == 2 {
+		effects = c.worstOf(at, effects[0].(failover.Record))
+	}
+	c.carryAll(primary, at.Database, at.Writer, at.IsKnown, effects, func(effect any) {
+		if promote, isOne := effect.(failover.Promote); isOne {
+			c.fleet.platform.promote(c, promote)
+		}
+	}, func(failover.Record) {})
+}
+
+func (c *control) worstOf(at failover.Case, record failover.Record) []any {
+	worst := slices.MinFunc(at.Sights, func(a, b failover.Sight) int {
+		isFirst := a.Instance.Name != at.Writer.Primary && (b.Instance.Name == at.Writer.Primary || a.Instance.Position.IsBefore(b.Instance.Position))
+		return map[bool]int{true: -1, false: 1}[isFirst]
+	}).Instance.Name
+	record.Writer.Intent = worst
+	return []any{record, failover.Promote{Database: at.Database, Instance: worst, Term: at.Writer.Term + 1}}
+}
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -400,3 +400,17 @@
 	result.Trace = fmt.Sprintf("%x", f.world.trace.Sum(nil))
 	return result
 }
+
+// instanceNames lists the instances in the order of their making.
+func (f *fleet) instanceNames() []string {
+	var names []string
+	for _, one := range f.instances {
+		names = append(names, one.name)
+	}
+	if f.lines != nil {
+		for _, one := range f.lines.servers {
+			names = append(names, one.name)
+		}
+	}
+	return names
+}
--- a/proof/sim/lines_control.go
+++ b/proof/sim/lines_control.go
@@ -4,107 +4,52 @@
 	"slices"
 	"time"
 
-	"tansyseam.example/pooler/coordination/epoch"
 	"tansyseam.example/pooler/coordination/failover"
-	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/coordination/takeover"
-	"tansyseam.example/pooler/state/table"
 	"tansyseam.example/pooler/state/view"
 )
 
-func (c *control) heardNow() []steer.Heard {
-	var list []steer.Heard
-	for _, one := range c.fleet.lines.servers {
-		if heard, isHeard := c.heard[one.name]; isHeard {
-			list = append(list, heard)
-		}
+func (c *control) decideTakeover(primary *control, at takeover.Case) {
+	at.IsFenced = c.fleet.lines.size.IsFenced
+	at = c.holder.Show(at, c.clock())
+	effects := takeover.Step(at, takeover.DefaultTiming())
+	if c.fleet.lines.defect.IsWorst {
+		effects = c.worstCalls(at, effects)
 	}
-	return list
+	c.carryAll(primary, at.Database, at.Writer, at.IsKnown, effects, func(effect any) { c.carryTakeover(primary, at, effect) }, c.holder.Recorded)
 }
 
-// takeover attends to a database as the holder of its duty.
-func (c *control) takeover(database string) {
-	primary := c.fleet.controlBy(c.epoch.Record().Primary)
-	if primary == nil {
-		return
+func (c *control) carryTakeover(primary *control, at takeover.Case, effect any) {
+	if ask, isAsk := effect.(takeover.Ask); isAsk {
+		c.order(at, ask.Instance, ask.Address, 0)
 	}
-	c.isAsked[database] = true
-	c.do(400*time.Millisecond, func() { c.isAsked[database] = false })
-	c.world.send(&c.machine, &primary.machine, func() {
-		if !primary.isPrimary() {
-			return
-		}
-		at := primary.steer.Takeover(database, primary.heardNow(), primary.wallNow(), primary.clock())
-		c.world.send(&primary.machine, &c.machine, func() {
-			c.isAsked[database] = false
-			c.decideTakeover(primary, at)
+	if down, isDown := effect.(takeover.StepDown); isDown {
+		c.order(at, down.Instance, down.Address, down.Term)
+	}
+	if mark, isMark := effect.(takeover.Mark); isMark {
+		c.world.send(&c.machine, &primary.machine, func() {
+			if primary.isPrimary() {
+				primary.steer.Covers(mark)
+			}
 		})
-	})
-}
-
-func (c *control) decideTakeover(primary *control, at takeover.Case) {
-	at.IsFenced = c.fleet.lines.size.IsFenced
-	at = c.holder.Show(at, c.clock())
-	c.carryTakeover(primary, at, takeover.Step(at, takeover.DefaultTiming()))
+	}
+	if call, isCall := effect.(takeover.Promote); isCall {
+		c.call(call)
+	}
 }
 
-func (c *control) carryTakeover(primary *control, at takeover.Case, effects []any) {
+func (c *control) worstCalls(at takeover.Case, effects []any) []any {
 	for rank, effect := range effects {
-		if record, isRecord := effect.(failover.Record); isRecord {
-			rest := effects[rank+1:]
-			c.recordTakeover(primary, at, record, func() { c.carryTakeover(primary, at, rest) })
-			return
-		}
-		if ask, isAsk := effect.(takeover.Ask); isAsk {
-			c.order(at, ask.Instance, ask.Address, 0)
-		}
-		if down, isDown := effect.(takeover.StepDown); isDown {
-			c.order(at, down.Instance, down.Address, down.Term)
-		}
-		if mark, isMark := effect.(takeover.Mark); isMark {
-			c.world.send(&c.machine, &primary.machine, func() {
-				if primary.isPrimary() {
-					primary.steer.Covers(mark)
-				}
-			})
+		if record, isRecord := effect.(failover.Record); isRecord && record.Writer.Phase == view.PhaseIntent {
+			record.Writer.Intent = c.worst(at)
+			effects[rank] = record
 		}
 		if call, isCall := effect.(takeover.Promote); isCall {
-			c.call(call)
-		}
-	}
-}
-
-func (c *control) recordTakeover(primary *control, at takeover.Case, record failover.Record, then func()) {
-	if c.fleet.lines.defect.IsWorst && record.Writer.Phase == view.PhaseIntent {
-		record.Writer.Intent = c.worst(at)
-		then = func() {
-			c.call(takeover.Promote{Database: at.Database, Instance: record.Writer.Intent, Holder: record.Writer.Holder, Fence: record.Writer.Fence})
+			call.Instance = c.worst(at)
+			effects[rank] = call
 		}
 	}
-	ask := steer.RecordCase{Before: at.Writer, IsKnown: at.IsKnown, After: record.Writer, What: record.What, Evidence: record.Evidence, By: c.name}
-	c.isAsked[at.Database] = true
-	c.do(2*time.Second, func() { c.isAsked[at.Database] = false })
-	c.world.send(&c.machine, &primary.machine, func() {
-		if !primary.isPrimary() {
-			return
-		}
-		isTaken := false
-		primary.submit(func(held *table.Table) []table.Put {
-			puts := steer.Record(held, ask, primary.wallNow())
-			isTaken = len(puts) > 0
-			return puts
-		}, func(done epoch.Answer) {
-			isKept := done.IsKept && isTaken
-			c.world.send(&primary.machine, &c.machine, func() {
-				c.isAsked[at.Database] = false
-				if isKept {
-					c.world.note("%s records %s: %s (%s)", c.name, at.Database, record.What, record.Evidence)
-					c.holder.Recorded(record)
-					then()
-				}
-			})
-		})
-	})
+	return effects
 }
 
 func (c *control) worst(at takeover.Case) string {
