Renew a duty at its pace from the moment it is won

The holder of the duty won it anew every 1.1 s and held it for a tenth of a second each time, so it attended once in 1.1 s and never had an answer of the instance that was less than 0.9 s old, which a repeated promote call asks for. A seeker's next ask was set when it asked, not knowing that it would win: at the fifth place of five that is 1.086 s later, past the 1.08 s that a full vote lasts. The ask that then came was no renewal, and each voter gave the tenth of a second that was left.

Change: the seeker that wins asks again at the pace of renewals.

Where it could show before: the fifth of five voters, and where several databases that are not synced each have a duty, the third of three.

Tests: TestDuties of ballot, 'keeps it without a gap', for ten places; seen failing first (place 4, lost at 3.26 s).

--- a/pooler/coordination/ballot/ballot.go
+++ b/pooler/coordination/ballot/ballot.go
@@ -216,6 +216,7 @@
 		return false
 	}
 	isNew := !s.IsHeld(now)
+	s.nextAt = min(s.nextAt, s.sent+s.pace)
 	s.until = max(s.until, s.sent+s.left*9/10)
 	s.holder = ""
 	return isNew
--- a/pooler/coordination/ballot/ballot_test.go
+++ b/pooler/coordination/ballot/ballot_test.go
@@ -87,6 +87,31 @@
 		So(after[11*time.Second], ShouldNotContain, first)
 		So(len(after[11*time.Second]), ShouldEqual, 1)
 	})
+	Convey("Who has won a duty keeps it without a gap, whatever its place among the candidates", t, func() {
+		const term, voters = 1200 * time.Millisecond, 5
+		for rank := range 2 * voters {
+			var keepers [voters]*Keeper
+			for at := range keepers {
+				keepers[at] = NewKeeper(term, -term)
+				keepers[at].OnAsk("z", Ask{Duty: "duty"}, time.Duration(at)*100*time.Millisecond)
+			}
+			seeker, since := NewSeeker("duty", voters, rank, term), time.Duration(0)
+			for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+				if ask, isDue := seeker.Tick(now); isDue {
+					for at := range keepers {
+						seeker.OnVote(string(rune('a'+at)), keepers[at].OnAsk("me", ask, now), now)
+					}
+				}
+				if since == 0 && seeker.IsHeld(now) {
+					since = now
+				}
+				if since != 0 && !seeker.IsHeld(now) {
+					So([]time.Duration{time.Duration(rank), since, now}, ShouldBeEmpty)
+				}
+			}
+			So(since, ShouldBeBetween, 0, 5*time.Second)
+		}
+	})
 	Convey("A keeper that has just started may have forgotten a vote and gives none for a term", t, func() {
 		keeper := NewKeeper(time.Second, 0)
 		So(keeper.OnAsk("a", Ask{Duty: "x"}, 999*time.Millisecond).IsGranted, ShouldBeFalse)
--- a/proof/sim/lines_test.go
+++ b/proof/sim/lines_test.go
@@ -95,6 +95,7 @@
 		{"a late promote call of an earlier intent, of the same holder and fence, was taken", 8000170, SmallLines()},
 		{"a primary that started again never had the others follow, and one that crashed while leaving never ended", 8000029, SmallLines()},
 		{"a control primary that took over listed an instance that leaves as it had heard it long before", 8001066, LargeLines()},
+		{"the holder of a duty did not renew it in time, and never saw an instance's answer while it was fresh", 8006071, LargeLines()},
 	}
 	Convey("Seeds of lines on which a rule was broken once break none", t, func() {
 		for _, one := range seeds {
