Answer the calls that show a data plane in one place for both kinds

Cause: the calls that pass operators' words on, readiness, the list of sets, vitals and the node's part of the fleet stood in cmd/plane and, line for line, in cmd/sessions.

Change: cmd/shown answers them for anything that has Serve, Effective and Ready, with the counts and lines of either kind given as functions.

Ruled out: a change of what is told; the fields are the same (TestShown lists those of the vitals).

Tests: TestShown, new, for both kinds.

Left: what hall and pool show, and how they bound a node's share.

--- a/pooler/cmd/plane/door.go
+++ b/pooler/cmd/plane/door.go
@@ -8,8 +8,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"tansyseam.example/pooler/cmd/control"
 	"tansyseam.example/pooler/cmd/fleet"
+	"tansyseam.example/pooler/cmd/shown"
 	"tansyseam.example/pooler/coordination/hall"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
@@ -48,26 +48,6 @@
 }
 
 func (p *Plane) serveCalls() {
-	for _, path := range []string{"/v1/bindings/put", "/v1/changes/book", "/v1/changes/list"} {
-		p.node.Serve(path, func(_ *fastjson.Value, raw []byte, _ *http.Request) (int, any) { return p.node.Pass(path, raw) })
-	}
-	p.node.Serve("/v1/bindings/list", func(*fastjson.Value, []byte, *http.Request) (int, any) {
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		return http.StatusOK, control.ListOf(p.node.Place().Name, p.hall.Serve().Doc(), p.hall.Effective(p.now()))
-	})
-	p.node.Serve("/v1/fleet", func(*fastjson.Value, []byte, *http.Request) (int, any) { return http.StatusOK, p.query("fleet") })
-	p.node.Serve("/v1/vitals", p.vitals)
-	p.node.Serve("/v1/ready", func(*fastjson.Value, []byte, *http.Request) (int, any) {
-		p.mutex.Lock()
-		isReady, why := p.hall.Ready(p.now())
-		p.mutex.Unlock()
-		status := http.StatusOK
-		if !isReady {
-			status = http.StatusServiceUnavailable
-		}
-		return status, map[string]any{"ready": isReady, "why": why}
-	})
 	p.node.Serve("/v1/session/open", p.openSession)
 	p.node.Serve("/v1/session/close", p.closeSession)
 	requests := map[string]func(*fastjson.Value) hall.Op{
@@ -98,17 +78,15 @@
 	}
 }
 
-func (p *Plane) vitals(*fastjson.Value, []byte, *http.Request) (int, any) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	now, known := p.now(), p.hall.Serve()
-	isReady, why := p.hall.Ready(now)
-	depths := map[string]int{
-		p.bind.Name: p.bind.Depth(), p.admits.Name: p.admits.Depth(), p.forward.Name: p.forward.Depth(), p.answer.Name: p.answer.Depth(),
-	}
-	return http.StatusOK, map[string]any{
-		"node": p.node.Place().Name, "is_ready": isReady, "why": why, "lease_ms": known.Left(now).Milliseconds(),
-		"epoch": known.Epoch(), "sequence": p.hall.Effective(now).Sequence, "sessions": p.hall.Consumers(), "queues": depths,
+func (p *Plane) shown() *shown.Plane {
+	return &shown.Plane{
+		Node: p.node, Lock: &p.mutex, Machine: p.hall, Sessions: p.hall.Consumers,
+		Queues: func(time.Duration) map[string]int {
+			return map[string]int{
+				p.bind.Name: p.bind.Depth(), p.admits.Name: p.admits.Depth(), p.forward.Name: p.forward.Depth(), p.answer.Name: p.answer.Depth(),
+			}
+		},
+		Show: func(now time.Duration) (any, any) { return p.hall.Show(now) },
 	}
 }
 
--- a/pooler/cmd/plane/drain.go
+++ b/pooler/cmd/plane/drain.go
@@ -1,10 +1,8 @@
 package plane
 
 import (
-	"encoding/json"
 	"time"
 
-	"tansyseam.example/pooler/cmd/control"
 	"tansyseam.example/pooler/coordination/goes"
 	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/rendezvous"
@@ -63,20 +61,3 @@
 		}
 	}
 }
-
-func (p *Plane) query(what string) []byte {
-	p.mutex.Lock()
-	now, known := p.now(), p.hall.Serve()
-	instances, lines := p.hall.Show(now)
-	isReady, why := p.hall.Ready(now)
-	body := map[string]any{
-		"node": p.node.Place().Name, "kind": view.KindData, "what": what, "instances": instances, "lines": lines,
-		"writers": control.WritersOf(known.Doc()), "is_ready": isReady, "why": why, "lease_ms": known.Left(now).Milliseconds(),
-		"stamp": map[string]any{"epoch": known.Stamp().Epoch, "sequence": known.Stamp().Sequence},
-		"sets":  control.ListOf(p.node.Place().Name, known.Doc(), p.hall.Effective(now)), "sessions": p.hall.Consumers(), "weight": p.node.Place().Weight,
-	}
-	p.mutex.Unlock()
-	body["nodes"] = control.NodesOf(p.node)
-	data, _ := json.Marshal(body)
-	return data
-}
--- a/pooler/cmd/plane/plane.go
+++ b/pooler/cmd/plane/plane.go
@@ -18,7 +18,6 @@
 	"tansyseam.example/pooler/coordination/hall"
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/dialect"
-	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 	"tansyseam.example/pooler/transport/web"
@@ -77,7 +76,7 @@
 		p.do(func(now time.Duration) { p.hall.Inherit(left, now) })
 		answer(goes.LegacyTaken{})
 	})
-	fleet.On(node, func(_ string, query msg.Query, answer func(any)) { answer(msg.QueryAnswer{Body: p.query(query.What)}) })
+	p.shown().Register()
 	p.serveCalls()
 	return p, nil
 }
--- a/pooler/cmd/sessions/sessions.go
+++ b/pooler/cmd/sessions/sessions.go
@@ -17,7 +17,6 @@
 	"tansyseam.example/pooler/coordination/member"
 	"tansyseam.example/pooler/coordination/pool"
 	"tansyseam.example/pooler/coordination/steer"
-	"tansyseam.example/pooler/protocol/msg"
 	"tansyseam.example/pooler/state/stream"
 	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
@@ -57,8 +56,7 @@
 	}
 	s.engine = wire.New(node.Crew, place.Sessions, stream.Longest, s.greet)
 	node.OnPassNews(800 * time.Millisecond)
-	fleet.On(node, func(_ string, query msg.Query, answer func(any)) { answer(msg.QueryAnswer{Body: s.query(query.What)}) })
-	s.serveCalls()
+	s.shown().Register()
 	return s, nil
 }
 
