Tell what comes to a node without a lease for long to come back at once

Ruled out: ending sessions at rest there, so that clients come back elsewhere: with under half of a zone's nodes in, the platform uses them all again, also those cut off (not run). Test, seen failing first: statements, first statements of transactions and sessions.

--- a/pooler/coordination/pool/clients.go
+++ b/pooler/coordination/pool/clients.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if !isLeased || set.Sequence == 0 {
-			if now-c.used < m.timing.Welcome {
+			if now-c.used < m.timing.Welcome && !m.isCutOff(now) {
 				kept = append(kept, c)
 				continue
 			}
--- a/pooler/coordination/pool/lines.go
+++ b/pooler/coordination/pool/lines.go
@@ -24,6 +24,11 @@
 		if binding, isBound := m.effective(now).Find(j.client.name); isBound && binding.Timeout > 0 {
 			j.deadline = j.arrived + binding.Timeout
 		}
+		if m.isCutOff(now) {
+			m.count("refused_cut_off", 1)
+			m.refuse(j, stream.CodeBusy, "not served now; come back in 500 ms", now)
+			return
+		}
 		j.phase = phaseLease
 		m.leaseless = append(m.leaseless, j)
 		return
--- a/pooler/coordination/pool/pool.go
+++ b/pooler/coordination/pool/pool.go
@@ -358,6 +358,8 @@
 	roll      steer.Roll
 	sharers   rights.Names
 	leftAt    time.Duration
+	leasedAt  time.Duration
+	hasBeaten bool
 	looked    time.Duration
 	isLeaving bool
 	effects   []Effect
@@ -450,6 +452,9 @@
 // beta is this node's weight.
 func (m *Machine) Beat(live []string, beta float64, now time.Duration) {
 	m.size(live, beta, now)
+	if !m.hasBeaten || m.serve.IsLeased(now) {
+		m.hasBeaten, m.leasedAt = true, now
+	}
 	for _, held := range m.backs {
 		held.window.Tick(now)
 		m.tend(held, now)
@@ -461,6 +466,12 @@
 	m.pumpAll(now)
 }
 
+// isCutOff says whether the lease has been gone for so long that nothing new
+// waits for it.
+func (m *Machine) isCutOff(now time.Duration) bool {
+	return m.hasBeaten && !m.serve.IsLeased(now) && now-m.leasedAt > m.timing.Away
+}
+
 func (m *Machine) size(live []string, beta float64, now time.Duration) {
 	if isNew := m.sharers.Note(live, now); isNew || beta != m.tuning.Beta {
 		m.tuning.Beta = beta
