Keep one client for promote calls, since an engine stopped at once may not end

Cause: each promote call started an engine of its own and stopped it again. Where the platform refused the connection at once, the stop came before the engine's pollers had begun, and under load it never ended: the call was never told as not sent, and a poller went on at full tilt. Seen in the test of such a call, which hung for 6 minutes in a run of all tests.

Ruled out: the test (its stack stands in the engine's stop).

Change: the client is made with the first call and kept.

Left: the product's own manner calls the platform in the old way (duties.go).

--- a/pooler/cmd/control/orders.go
+++ b/pooler/cmd/control/orders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -109,15 +110,30 @@
 // ErrUnsent says that a call did not leave this machine.
 const ErrUnsent = errors.ConstError("call not sent")
 
-// Promoter makes the platform's one call, in the words that write gives.
+// Promoter makes the platform's one call, in the words that write gives. Its
+// client is made with the first call and kept: an engine that is stopped just
+// after its start may never end.
 func Promoter(node *fleet.Node, write func(door.Promotion) door.Request) func(settings.Settings, string, string, string, uint64) (int, error) {
+	var mutex sync.Mutex
+	var client *web.Client
+	kept := func(local string) (*web.Client, error) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if client != nil {
+			return client, nil
+		}
+		made, err := web.NewClient(local, node.Crew)
+		if err == nil {
+			client = made
+		}
+		return made, err
+	}
 	return func(place settings.Settings, database, instance, holder string, fence uint64) (int, error) {
-		client, err := web.NewClient(hostOf(place.Link), node.Crew)
+		made, err := kept(hostOf(place.Link))
 		if err != nil {
 			return 0, errors.WithType(errors.Trace(err), ErrUnsent)
 		}
-		defer client.Close()
-		session, err := client.Dial(place.Platform, time.Second, nil)
+		session, err := made.Dial(place.Platform, time.Second, nil)
 		if err != nil {
 			return 0, errors.WithType(errors.Trace(err), ErrUnsent)
 		}
