Try news and writes by what changed, not by what is held

The primary decoded every set at each write.

Tried: of the sets that an asker has already, news gives sequence and moment; each set is decoded once; of sets that get one moment the last is kept.

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -127,6 +128,7 @@
 	record      epoch.Record
 	table       *table.Table
 	doc         view.Doc
+	sets        map[string]readSet
 	desk        *lease.Desk
 	waiters     []waiter
 	reports     map[string]map[string]reported
@@ -246,13 +248,52 @@
 func (m *Machine) Wrote(held *table.Table) {
 	before := m.doc
 	m.table = held
-	m.doc = view.DocOf(held)
+	m.doc = view.DocBy(held, m.read)
+	maps.DeleteFunc(m.sets, func(key string, _ readSet) bool { _, isHeld := held.Records[key]; return !isHeld })
 	if before.IsPending() && !m.doc.IsPending() && m.desk != nil {
 		m.desk.Thaw()
 	}
 	m.noteTerms(before)
 }
 
+type readSet struct {
+	stamp table.Stamp
+	set   view.Set
+}
+
+// read decodes a set once for each write of it.
+func (m *Machine) read(key string) (view.Set, bool) {
+	stamp := m.table.Records[key].Stamp
+	if held, isHeld := m.sets[key]; isHeld && held.stamp == stamp {
+		return held.set, true
+	}
+	set, isHeld := table.Get[view.Set](m.table, key)
+	if m.sets == nil {
+		m.sets = map[string]readSet{}
+	}
+	if isHeld {
+		m.sets[key] = readSet{stamp, set}
+	}
+	return set, isHeld
+}
+
+// lean gives the state for an asker that has an older one: of the sets that it
+// holds already, sequence and moment.
+func (m *Machine) lean(have table.Stamp) *view.Doc {
+	doc := m.doc
+	doc.Sets = slices.Clone(m.doc.Sets)
+	for at, set := range doc.Sets {
+		body := set.Body
+		if body == (table.Stamp{}) {
+			body = m.table.Records[SetKey(set.Sequence)].Stamp
+		}
+		if have != (table.Stamp{}) && !have.IsBefore(body) {
+			doc.Sets[at] = set.Brief()
+		}
+	}
+	return &doc
+}
+
 // Record gives the epoch record.
 func (m *Machine) Record() epoch.Record { return m.record }
 
@@ -342,8 +383,7 @@
 		news := News{IsPrimary: isPrimary, Record: m.record, Wall: wall, Held: now - held.came}
 		if isPrimary {
 			if isNews {
-				doc := m.doc
-				news.Doc = &doc
+				news.Doc = m.lean(held.ask.Have)
 			}
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
@@ -592,7 +632,7 @@
 	}
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
-		isAhead := set.Moment > wall+int64(lease.MostDoubt)
+		isAhead := set.Moment > wall
 		isOld := set.By != m.tenure && wall >= set.Due
 		if isAhead && (set.Sequence <= shown || isOld) {
 			set.Moment = 1
@@ -618,22 +658,32 @@
 		return nil
 	}
 	key := view.KeyBook + booking.ID
-	newest := view.DocOf(held).Newest()
+	newest := view.NewestOf(held)
 	set := follow(newest, view.Set{Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID})
 	puts := []table.Put{{Key: key, IsGone: true}, {Key: SetKey(set.Sequence), Data: table.Encode(set)}}
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("booked change %s taken as sequence %d", booking.ID, set.Sequence), "its moment is near")...)
 }
 
 func setMoments(held *table.Table, seen table.Stamp, moment, wall int64, by string) []table.Put {
-	doc := view.DocOf(held)
+	var landing []view.Set
+	for _, set := range timeline.Moment(view.TailOf(held), moment) {
+		if stamp := held.Records[SetKey(set.Sequence)].Stamp; !seen.IsBefore(stamp) {
+			set.By, set.Body = by, stamp
+			landing = append(landing, set)
+		}
+	}
 	var puts []table.Put
 	last := uint64(0)
-	for _, set := range timeline.Moment(doc.Sets, moment) {
-		if stamp := held.Records[SetKey(set.Sequence)].Stamp; !seen.IsBefore(stamp) {
-			set.By = by
-			puts = append(puts, table.Put{Key: SetKey(set.Sequence), Data: table.Encode(set)})
-			last = set.Sequence
+	for at, set := range landing {
+		if isOvertaken := at+1 < len(landing) && landing[at+1].Moment == set.Moment; isOvertaken {
+			puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
+			if _, hasRaw := held.Records[RawKey(landing[at+1].Sequence)]; hasRaw {
+				puts = append(puts, table.Put{Key: RawKey(set.Sequence), IsGone: true})
+			}
+			continue
 		}
+		puts = append(puts, table.Put{Key: SetKey(set.Sequence), Data: table.Encode(set)})
+		last = set.Sequence
 	}
 	if len(puts) == 0 {
 		return nil
@@ -658,9 +708,9 @@
 	m.isTidy, m.tidiedAt = true, now
 	return Write{Build: func(held *table.Table) []table.Put {
 		var puts []table.Put
-		for _, set := range view.DocOf(held).Sets {
-			if set.Sequence < lowest {
-				puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
+		for _, key := range held.Keys(view.KeySet) {
+			if key < SetKey(lowest) {
+				puts = append(puts, table.Put{Key: key, IsGone: true})
 			}
 		}
 		raws := held.Keys(view.KeyRaw)
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -316,3 +316,48 @@
 		}
 	})
 }
+
+func TestNewsByWhatChanged(t *testing.T) {
+	Convey("Of the sets that an asker holds already news gives the moments alone; one that holds nothing gets all", t, func() {
+		d := newDesk(1, table.New())
+		d.ask("d1", table.Stamp{})
+		d.put(0)
+		d.ask("d1", d.held.Stamp)
+		d.ask("d1", d.held.Stamp)
+		before := d.held.Stamp
+		d.put(1)
+		taken := d.held.Stamp
+		sets := func(have table.Stamp) (briefs []bool, bindings int) {
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: have}, 1, d.now)
+			for _, set := range d.Flush(true, d.wall, d.now)[0].News.Doc.Sets {
+				briefs, bindings = append(briefs, set.IsBrief), bindings+len(set.Bindings)
+			}
+			return briefs, bindings
+		}
+		briefs, bindings := sets(before)
+		So(briefs, ShouldResemble, []bool{true, false})
+		So(bindings, ShouldEqual, 1)
+		d.settle()
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: taken}, 1, d.now)
+		d.settle()
+		So(d.Doc().IsPending(), ShouldBeFalse)
+		briefs, bindings = sets(taken)
+		So(briefs, ShouldResemble, []bool{true, true})
+		So(bindings, ShouldEqual, 0)
+		briefs, bindings = sets(table.Stamp{})
+		So(briefs, ShouldResemble, []bool{false, false})
+		So(bindings, ShouldEqual, 2)
+	})
+	Convey("Sets that would come in force at one moment are not kept beside the last of them", t, func() {
+		d := newDesk(1, table.New())
+		d.ask("d1", table.Stamp{})
+		for expected := range uint64(4) {
+			d.put(expected)
+		}
+		d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.held.Stamp}, 1, d.now)
+		d.settle()
+		So(len(d.Doc().Sets), ShouldEqual, 1)
+		So(d.Doc().Newest().Sequence, ShouldEqual, 4)
+		So(d.Doc().Newest().Moment, ShouldNotEqual, 0)
+	})
+}
