--- a/pooler/coordination/lease/lease.go
+++ b/pooler/coordination/lease/lease.go
@@ -61,29 +61,22 @@
 	d.nodes[node] = held
 }
 
-// OnPromise notes that a node holds no lease past what it says is left, nor
-// will by an earlier grant.
-func (d *Desk) OnPromise(node string, left, now time.Duration) {
+// OnBare notes that a node holds no lease now, nor will by an earlier grant.
+func (d *Desk) OnBare(node string, now time.Duration) {
 	if held, isMet := d.nodes[node]; isMet {
-		held.until = min(held.until, now+left+left*d.timing.Drift/100)
+		held.until = min(held.until, now)
 		d.nodes[node] = held
 	}
 }
 
-// Length is what a grant would give.
-func (d *Desk) Length(most, now time.Duration) time.Duration {
-	length := min(d.timing.Full, most)
-	if d.frozen != 0 {
-		length = max(min(length, d.frozen-now), 0)
-	}
-	return length
-}
-
 // Grant gives the lease that goes with an answer, counted by the node from
 // when it sent the ask.
 func (d *Desk) Grant(node string, most, now time.Duration) time.Duration {
 	held := d.nodes[node]
-	length := d.Length(most, now)
+	length := min(d.timing.Full, most)
+	if d.frozen != 0 {
+		length = max(min(length, d.frozen-now), 0)
+	}
 	held.until = max(held.until, now+length)
 	d.nodes[node] = held
 	return length
@@ -204,11 +197,14 @@
 	return true
 }
 
-// Promise gives what is left of the lease; grants for asks sent before are
+// Bare says whether no lease is held now; grants for asks sent before are then
 // nothing from now on, so that the node may say so.
-func (h *Holder) Promise(now time.Duration) time.Duration {
+func (h *Holder) Bare(now time.Duration) bool {
+	if h.IsHeld(now) {
+		return false
+	}
 	h.cutAt = max(h.cutAt, now)
-	return h.Left(now)
+	return true
 }
 
 // IsHeld says whether the node may serve at this moment.
--- a/pooler/coordination/serve/serve.go
+++ b/pooler/coordination/serve/serve.go
@@ -166,7 +166,7 @@
 	m.asks++
 	return steer.AskNews{
 		Node: m.self, Kind: view.KindData, Have: m.doc.Stamp, Reports: told.Reports, Highs: told.Highs,
-		Shows: current.Sequence, Number: m.asks, IsPromised: true, Left: m.holder.Promise(now),
+		Shows: current.Sequence, Number: m.asks, IsBare: m.holder.Bare(now),
 	}
 }
 
@@ -198,12 +198,7 @@
 func (m *Machine) Take(news steer.News, sent, now time.Duration) []Moved {
 	var moved []Moved
 	if news.Doc != nil && m.doc.Stamp.IsBefore(news.Doc.Stamp) {
-		doc, isWhole := m.whole(*news.Doc)
-		if !isWhole {
-			m.doc.Stamp = table.Stamp{}
-			return nil
-		}
-		moved = m.takeDoc(doc)
+		moved = m.takeDoc(*news.Doc)
 	}
 	m.holder.OnGrant(lease.Grant{
 		Epoch: news.Record.Epoch, Primary: news.Record.Primary, Length: news.Lease, Wall: news.Wall, Held: news.Held,
@@ -232,23 +227,6 @@
 	m.moments = moments
 }
 
-// whole fills in what brief sets leave out. A node that does not hold one asks
-// for the whole state next.
-func (m *Machine) whole(doc view.Doc) (view.Doc, bool) {
-	doc.Sets = slices.Clone(doc.Sets)
-	for at, set := range doc.Sets {
-		if !set.IsBrief {
-			continue
-		}
-		held := slices.IndexFunc(m.doc.Sets, func(other view.Set) bool { return other.Sequence == set.Sequence })
-		if held < 0 {
-			return doc, false
-		}
-		doc.Sets[at] = set.Whole(m.doc.Sets[held])
-	}
-	return doc, true
-}
-
 func (m *Machine) takeDoc(doc view.Doc) []Moved {
 	before := m.doc.Writers
 	m.doc = doc
--- a/pooler/coordination/steer/calls.go
+++ b/pooler/coordination/steer/calls.go
@@ -53,7 +53,7 @@
 // sequence, and the newest sequence as it was before; none where another was
 // taken since.
 func PutSet(held *table.Table, expected uint64, bindings []view.Binding, source string, wall int64) ([]table.Put, uint64) {
-	newest := view.NewestOf(held)
+	newest := view.DocOf(held).Newest()
 	if newest.Sequence != expected {
 		return nil, newest.Sequence
 	}
@@ -76,7 +76,7 @@
 // PutManifest gives the puts that take a manifest by its operator's version,
 // and the version held before; none where that is not below the given one.
 func PutManifest(held *table.Table, version uint64, set view.Set, raw []byte, source string, wall int64) ([]table.Put, uint64) {
-	newest := view.NewestOf(held)
+	newest := view.DocOf(held).Newest()
 	if newest.Version >= version {
 		return nil, newest.Version
 	}
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -52,10 +51,8 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
-	// IsPromised says that the node holds no lease past Left, nor will by the
-	// answer to an earlier ask. One that goes two ways promises nothing.
-	IsPromised bool
-	Left       time.Duration
+	// IsBare says that the node holds no lease, nor will by an earlier grant.
+	IsBare bool
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -128,7 +125,6 @@
 	record      epoch.Record
 	table       *table.Table
 	doc         view.Doc
-	sets        map[string]readSet
 	desk        *lease.Desk
 	waiters     []waiter
 	reports     map[string]map[string]reported
@@ -137,8 +133,6 @@
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
-	landedAt    time.Duration
-	tidiedAt    time.Duration
 	tenure      string
 	isEnrolling map[string]bool
 	inherited   table.Stamp
@@ -172,7 +166,6 @@
 	m.shows = map[string]uint64{}
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
-	m.landedAt, m.tidiedAt = 0, 0
 	m.clearSynced()
 }
 
@@ -248,52 +241,13 @@
 func (m *Machine) Wrote(held *table.Table) {
 	before := m.doc
 	m.table = held
-	m.doc = view.DocBy(held, m.read)
-	maps.DeleteFunc(m.sets, func(key string, _ readSet) bool { _, isHeld := held.Records[key]; return !isHeld })
+	m.doc = view.DocOf(held)
 	if before.IsPending() && !m.doc.IsPending() && m.desk != nil {
 		m.desk.Thaw()
 	}
 	m.noteTerms(before)
 }
 
-type readSet struct {
-	stamp table.Stamp
-	set   view.Set
-}
-
-// read decodes a set once for each write of it.
-func (m *Machine) read(key string) (view.Set, bool) {
-	stamp := m.table.Records[key].Stamp
-	if held, isHeld := m.sets[key]; isHeld && held.stamp == stamp {
-		return held.set, true
-	}
-	set, isHeld := table.Get[view.Set](m.table, key)
-	if m.sets == nil {
-		m.sets = map[string]readSet{}
-	}
-	if isHeld {
-		m.sets[key] = readSet{stamp, set}
-	}
-	return set, isHeld
-}
-
-// lean gives the state for an asker that has an older one: of the sets that it
-// holds already, sequence and moment.
-func (m *Machine) lean(have table.Stamp) *view.Doc {
-	doc := m.doc
-	doc.Sets = slices.Clone(m.doc.Sets)
-	for at, set := range doc.Sets {
-		body := set.Body
-		if body == (table.Stamp{}) {
-			body = m.table.Records[SetKey(set.Sequence)].Stamp
-		}
-		if have != (table.Stamp{}) && !have.IsBefore(body) {
-			doc.Sets[at] = set.Brief()
-		}
-	}
-	return &doc
-}
-
 // Record gives the epoch record.
 func (m *Machine) Record() epoch.Record { return m.record }
 
@@ -315,8 +269,8 @@
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
 		m.desk.OnAsk(ask.Node, ask.Have, now)
-		if ask.IsPromised && !isLate && ask.Birth != 0 {
-			m.desk.OnPromise(ask.Node, ask.Left, now)
+		if ask.IsBare && !isLate && ask.Birth != 0 {
+			m.desk.OnBare(ask.Node, now)
 		}
 		m.Gather(Told{Node: ask.Node, Reports: ask.Reports, Highs: ask.Highs}, now)
 		m.shows[ask.Node] = ask.Shows
@@ -375,7 +329,7 @@
 	for _, held := range m.waiters {
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait() || m.isShort(held, wall, now)
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -383,12 +337,13 @@
 		news := News{IsPrimary: isPrimary, Record: m.record, Wall: wall, Held: now - held.came}
 		if isPrimary {
 			if isNews {
-				news.Doc = m.lean(held.ask.Have)
+				doc := m.doc
+				news.Doc = &doc
 			}
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.roll
 			}
-			if m.mayLease(held.ask) {
+			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
 				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
@@ -594,11 +549,9 @@
 			return puts
 		}, Done: done}, true
 	}
-	seen, isSettled := m.settledSets(now)
-	if !isSettled || (m.landedAt != 0 && now < m.landedAt+landPace) {
+	if !m.doc.IsPending() || !m.desk.Settled(m.table.Records[SetKey(m.doc.Newest().Sequence)].Stamp, now) {
 		return Write{}, false
 	}
-	m.landedAt = now
 	earliest := m.desk.Latest(now) + m.timing.Margin
 	m.desk.Freeze(earliest)
 	if isFirst := m.doc.Sets[0].Moment == 0; isFirst {
@@ -606,25 +559,10 @@
 	}
 	m.isLand = true
 	moment := wall + int64(earliest-now)
-	by := m.tenure
+	seen, by := m.doc.Stamp, m.tenure
 	return Write{Build: func(held *table.Table) []table.Put { return setMoments(held, seen, moment, wall, by) }, Done: done}, true
 }
 
-// landPace lets sets that come in quick succession share a write.
-const landPace = 200 * time.Millisecond
-
-// settledSets gives the stamp up to which sets without a moment are held by each
-// node that may hold a lease.
-func (m *Machine) settledSets(now time.Duration) (table.Stamp, bool) {
-	for at := len(m.doc.Sets) - 1; at >= 0 && m.doc.Sets[at].Moment == 0; at-- {
-		stamp := m.table.Records[SetKey(m.doc.Sets[at].Sequence)].Stamp
-		if m.desk.Settled(stamp, now) {
-			return stamp, true
-		}
-	}
-	return table.Stamp{}, false
-}
-
 func (m *Machine) catchUp(wall int64) []view.Set {
 	shown := uint64(0)
 	for _, sequence := range m.shows {
@@ -658,32 +596,22 @@
 		return nil
 	}
 	key := view.KeyBook + booking.ID
-	newest := view.NewestOf(held)
+	newest := view.DocOf(held).Newest()
 	set := follow(newest, view.Set{Bindings: booking.Bindings, Due: booking.At, Taken: wall, Source: "booking " + booking.ID})
 	puts := []table.Put{{Key: key, IsGone: true}, {Key: SetKey(set.Sequence), Data: table.Encode(set)}}
 	return append(puts, EntryPuts(held, wall, "bindings", fmt.Sprintf("booked change %s taken as sequence %d", booking.ID, set.Sequence), "its moment is near")...)
 }
 
 func setMoments(held *table.Table, seen table.Stamp, moment, wall int64, by string) []table.Put {
-	var landing []view.Set
-	for _, set := range timeline.Moment(view.TailOf(held), moment) {
-		if stamp := held.Records[SetKey(set.Sequence)].Stamp; !seen.IsBefore(stamp) {
-			set.By, set.Body = by, stamp
-			landing = append(landing, set)
-		}
-	}
+	doc := view.DocOf(held)
 	var puts []table.Put
 	last := uint64(0)
-	for at, set := range landing {
-		if isOvertaken := at+1 < len(landing) && landing[at+1].Moment == set.Moment; isOvertaken {
-			puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
-			if _, hasRaw := held.Records[RawKey(landing[at+1].Sequence)]; hasRaw {
-				puts = append(puts, table.Put{Key: RawKey(set.Sequence), IsGone: true})
-			}
-			continue
+	for _, set := range timeline.Moment(doc.Sets, moment) {
+		if stamp := held.Records[SetKey(set.Sequence)].Stamp; !seen.IsBefore(stamp) {
+			set.By = by
+			puts = append(puts, table.Put{Key: SetKey(set.Sequence), Data: table.Encode(set)})
+			last = set.Sequence
 		}
-		puts = append(puts, table.Put{Key: SetKey(set.Sequence), Data: table.Encode(set)})
-		last = set.Sequence
 	}
 	if len(puts) == 0 {
 		return nil
@@ -692,8 +620,6 @@
 	return append(puts, EntryPuts(held, wall, "bindings", what, "every leased node has taken it up")...)
 }
 
-const tidyPace = time.Second
-
 // Tidy gives the write that drops sets which every leased node has left
 // behind, if there are any.
 func (m *Machine) Tidy(wall int64, now time.Duration) (Write, bool) {
@@ -701,16 +627,16 @@
 	for node := range m.desk.Held(now) {
 		lowest = min(lowest, m.shows[node])
 	}
-	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full && now >= m.tidiedAt+tidyPace
+	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
 	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
-	m.isTidy, m.tidiedAt = true, now
+	m.isTidy = true
 	return Write{Build: func(held *table.Table) []table.Put {
 		var puts []table.Put
-		for _, key := range held.Keys(view.KeySet) {
-			if key < SetKey(lowest) {
-				puts = append(puts, table.Put{Key: key, IsGone: true})
+		for _, set := range view.DocOf(held).Sets {
+			if set.Sequence < lowest {
+				puts = append(puts, table.Put{Key: SetKey(set.Sequence), IsGone: true})
 			}
 		}
 		raws := held.Keys(view.KeyRaw)
--- a/pooler/coordination/steer/synced.go
+++ b/pooler/coordination/steer/synced.go
@@ -34,25 +34,6 @@
 	return m.timing.Wait
 }
 
-const (
-	spare = 150 * time.Millisecond
-	// shortPace keeps a node that takes no lease from what it is given from
-	// asking again at once.
-	shortPace = 50 * time.Millisecond
-)
-
-func (m *Machine) mayLease(ask AskNews) bool {
-	return ask.Kind == view.KindData && m.isKnown(ask.Node) && !m.isEnrolling[ask.Node]
-}
-
-// isShort says whether an asker's lease is about to end while another is to be
-// had.
-func (m *Machine) isShort(held waiter, wall int64, now time.Duration) bool {
-	waited := now - held.came
-	isEnding := held.ask.IsPromised && held.ask.Left-waited < spare && waited >= shortPace
-	return isEnding && m.mayLease(held.ask) && m.desk.Length(m.room(wall), now) > 2*spare
-}
-
 // isOver says whether a set's moment has passed since an ask came: leases were
 // bounded by it, and are no more.
 func (m *Machine) isOver(came time.Duration, wall int64, now time.Duration) bool {
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -139,23 +139,6 @@
 	Version   uint64
 	Databases []Database
 	Limits    Limits
-	// Body is the stamp at which all but the moment was written; zero while
-	// there is no moment.
-	Body table.Stamp
-	// IsBrief says that only sequence and moment are given: the receiver has
-	// the rest.
-	IsBrief bool
-}
-
-// Brief gives the set without what a receiver of it has already.
-func (s Set) Brief() Set {
-	return Set{Sequence: s.Sequence, Moment: s.Moment, Due: s.Due, Taken: s.Taken, By: s.By, Body: s.Body, IsBrief: true}
-}
-
-// Whole gives a brief set with the rest of a held one.
-func (s Set) Whole(held Set) Set {
-	held.Moment, held.Due, held.Taken, held.By, held.Body, held.IsBrief = s.Moment, s.Due, s.Taken, s.By, s.Body, false
-	return held
 }
 
 // Database gives what a manifest says of a database.
@@ -261,36 +244,9 @@
 
 // DocOf reads the data plane's part out of the control state.
 func DocOf(t *table.Table) Doc {
-	return DocBy(t, func(key string) (Set, bool) { return table.Get[Set](t, key) })
-}
-
-// TailOf reads the sets without a moment, and the one before them, in order.
-func TailOf(t *table.Table) []Set {
-	var sets []Set
-	keys := t.Keys(KeySet)
-	for at := len(keys) - 1; at >= 0 && (len(sets) == 0 || sets[0].Moment == 0); at-- {
-		if set, isHeld := table.Get[Set](t, keys[at]); isHeld {
-			sets = slices.Insert(sets, 0, set)
-		}
-	}
-	return sets
-}
-
-// NewestOf reads the last set taken.
-func NewestOf(t *table.Table) Set {
-	keys := t.Keys(KeySet)
-	if len(keys) == 0 {
-		return Set{}
-	}
-	set, _ := table.Get[Set](t, keys[len(keys)-1])
-	return set
-}
-
-// DocBy does what DocOf does with sets read by a function of their key.
-func DocBy(t *table.Table, read func(key string) (Set, bool)) Doc {
 	doc := Doc{Stamp: t.Stamp, Writers: map[string]Writer{}}
 	for _, key := range t.Keys(KeySet) {
-		if set, isHeld := read(key); isHeld {
+		if set, isHeld := table.Get[Set](t, key); isHeld {
 			doc.Sets = append(doc.Sets, set)
 		}
 	}
