Give up no lease by an ask that goes two ways

Cause, found by reasoning: since nodes ask directly and through a peer at once, one copy of an ask may tell a new control primary that the node holds no lease while the other brings a lease from the primary before, answered just before its own primacy ended. The new one would then set a moment that this node does not hear of.

Ruled out: asks that go one way, since grants for earlier asks are nothing once a node has said so.

Change: an ask that goes two ways says nothing of leases; the next, which goes one way after an answer, does.

Test: TestAsksOfANodeWhosePrimaryIsSilent looks at what each way tells.

--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -38,6 +38,7 @@
 	}
 	ways := []func() (any, error){func() (any, error) { return n.Hub.Call(address, ask, bound) }}
 	if primary != "" && silent > 0 {
+		ask.IsBare = false
 		ways = append(ways, func() (any, error) { return n.askThrough(ask, silent, bound) })
 	}
 	seeker.Misses++
--- a/pooler/cmd/fleet/news_test.go
+++ b/pooler/cmd/fleet/news_test.go
@@ -56,7 +56,7 @@
 func (a *asking) askNews(seeker *Seeker, bound time.Duration) chan bool {
 	over := make(chan bool, 1)
 	go func() {
-		_, isGood := a.AskNews(steer.AskNews{Node: "d1", Kind: view.KindData}, seeker, bound)
+		_, isGood := a.AskNews(steer.AskNews{Node: "d1", Kind: view.KindData, IsBare: true}, seeker, bound)
 		over <- isGood
 	}()
 	return over
@@ -70,17 +70,18 @@
 	}
 	Convey("Given a node whose control primary hears and does not answer", t, func() {
 		a := newAsking()
-		heard := make(chan struct{}, 10)
+		heard := make(chan bool, 10)
 		a.meet("c1", view.KindControl, func(_ string, body any, _ func(any)) {
-			if _, isAsk := body.(steer.AskNews); isAsk {
-				heard <- struct{}{}
+			if ask, isAsk := body.(steer.AskNews); isAsk {
+				heard <- ask.IsBare
 			}
 		})
 		a.Saw(epoch.Record{Epoch: 1, Primary: "c1"})
 		Convey("It gives up the ask that is out when it hears of another primary, and asks that one", func() {
 			a.meet("c2", view.KindControl, primary)
 			over := a.askNews(&Seeker{}, time.Hour)
-			So(run.Await(heard, time.Minute), ShouldBeTrue)
+			isBare, _ := run.Take(heard, time.After(time.Minute))
+			So(isBare, ShouldBeTrue)
 			a.dispatch("c2", msg.Turned{Record: epoch.Record{Epoch: 2, Primary: "c2"}}, nil)
 			isGood, isOver := run.Take(over, time.After(time.Minute))
 			So(isOver, ShouldBeTrue)
@@ -99,7 +100,7 @@
 			a.Saw(epoch.Record{Epoch: 3, Primary: "c9"})
 			So(run.Await(over, time.Minute), ShouldBeTrue)
 		})
-		Convey("After an ask that nobody answered it goes through a peer, and does not wait for the primary's silence first", func() {
+		Convey("After an ask that nobody answered it goes through a peer, which brings the first answer; by one that goes two ways no lease is given up", func() {
 			a.meet("d2", view.KindData, func(_ string, body any, answer func(any)) {
 				if _, isPass := body.(msg.PassNews); isPass {
 					answer(steer.News{IsPrimary: true, Record: epoch.Record{Epoch: 1, Primary: "c1"}})
@@ -111,7 +112,9 @@
 			So(isOver, ShouldBeTrue)
 			So(isGood, ShouldBeTrue)
 			So(seeker.Silent, ShouldEqual, 0)
-			So(len(heard), ShouldEqual, 1)
+			isBare, isHeard := run.Take(heard, time.After(time.Minute))
+			So(isHeard, ShouldBeTrue)
+			So(isBare, ShouldBeFalse)
 		})
 	})
 }
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -51,7 +51,8 @@
 	// rises with each ask of that run, so that one that comes late is known.
 	Birth  int64
 	Number uint64
-	// IsBare says that the node holds no lease, nor will by an earlier grant.
+	// IsBare says that the node holds no lease, nor will by an earlier grant. An
+	// ask that goes two ways says nothing of it.
 	IsBare bool
 }
 
