Leave an earlier primary's moment to a clock that is sure

Cause: since moments lie 1.7 s ahead, a control primary that follows another within that time finds one that is still to come. It took it for the sign of a wrong clock, as it could only be while moments were 0.5 s ahead, and brought the set in force at once at the nodes that it reached, while others held leases of its forerunner's: they served under the set before for up to 285 ms and more beside it.

Ruled out: the spread of the nodes' reckonings (a reckoning renewed until the moment changed nothing), the grace for moments just ahead.

Change: a moment of an earlier tenure that lies ahead by no more than moments do is left as it is, if the clock is sure; while it is not, nobody is leased beside it.

Test: TestMomentOfAnEarlierTenure, seen failing.

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -309,6 +309,9 @@
 	}
 	room := m.timing.Full
 	for _, set := range m.doc.Sets {
+		if set.Moment > wall && set.By != m.tenure && !m.isSure {
+			return 0
+		}
 		if set.Moment == 0 && !m.isSure && !m.inherited.IsBefore(m.table.Records[SetKey(set.Sequence)].Stamp) {
 			return 0
 		}
@@ -572,7 +575,7 @@
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
 		isAhead := set.Moment > wall
-		isOld := set.By != m.tenure && wall >= set.Due
+		isOld := set.By != m.tenure && wall >= set.Due && !m.isHonest(set, wall)
 		if isAhead && (set.Sequence <= shown || isOld) {
 			set.Moment = 1
 			moved = append(moved, set)
@@ -581,6 +584,12 @@
 	return moved
 }
 
+// isHonest says whether a moment set by an earlier tenure may lie ahead by the
+// clock: one is set that far ahead, and all who hold a lease past it know it.
+func (m *Machine) isHonest(set view.Set, wall int64) bool {
+	return m.isSure && time.Duration(set.Moment-wall) < m.timing.Full+m.timing.Margin
+}
+
 func nextBooking(held *table.Table, wall int64) (view.Booking, bool) {
 	var bookings []view.Booking
 	for _, key := range held.Keys(view.KeyBook) {
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -283,3 +283,32 @@
 		So(d.Doc().Newest().Moment-d.wall, ShouldBeLessThan, int64(full/2))
 	})
 }
+
+func TestMomentOfAnEarlierTenure(t *testing.T) {
+	Convey("A moment that lies ahead as far as moments do is left to a clock that is sure, since who holds a lease knows it; beside one that is not nobody is leased", t, func() {
+		first := newDesk(1, table.New())
+		first.ask("d1", table.Stamp{})
+		first.put(0)
+		first.ask("d1", first.held.Stamp)
+		first.ask("d1", first.held.Stamp)
+		first.put(1)
+		first.ask("d1", first.held.Stamp)
+		moment := first.Doc().Newest().Moment
+		So(moment, ShouldBeGreaterThan, first.wall)
+		for _, isSure := range []bool{true, false} {
+			next := newDesk(2, first.held)
+			next.wall = moment - int64(time.Second)
+			next.Trust(isSure)
+			next.tenureOf(next.wall)
+			if !isSure {
+				So(next.room(next.wall), ShouldEqual, 0)
+				continue
+			}
+			So(next.catchUp(next.wall), ShouldBeEmpty)
+			So(next.room(next.wall), ShouldBeGreaterThan, 0)
+			next.wall = moment - int64(3*time.Second)
+			So(len(next.catchUp(next.wall)), ShouldEqual, 1)
+			So(next.room(next.wall), ShouldEqual, 0)
+		}
+	})
+}
