--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -60,10 +60,9 @@
 	Known uint64
 	// IsDelta says that the asker takes a Doc of what was written after Have.
 	IsDelta bool
-	// IsPromised says that the node holds no lease past Left, nor will by the
-	// answer to an earlier ask. One that goes two ways promises nothing.
-	IsPromised bool
-	Left       time.Duration
+	// IsBare says that the node holds no lease, nor will by an earlier grant. An
+	// ask that goes two ways says nothing of it.
+	IsBare bool
 }
 
 // Roll numbers the lists of instances that one tenure of the control primary
@@ -162,8 +161,6 @@
 	settled     map[string]settledAt
 	isLand      bool
 	isTidy      bool
-	landedAt    time.Duration
-	tidiedAt    time.Duration
 	tenure      string
 	number      uint64
 	runs        uint64
@@ -205,7 +202,6 @@
 	m.shows, m.shown = map[string]uint64{}, 0
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
-	m.landedAt, m.tidiedAt = 0, 0
 	m.clearSynced()
 }
 
@@ -330,8 +326,8 @@
 		m.watch(now)
 		isLate := !m.noteAsk(ask)
 		m.desk.OnAsk(ask.Node, ask.Have, now)
-		if ask.IsPromised && !isLate && ask.Birth != 0 {
-			m.desk.OnPromise(ask.Node, ask.Left, now)
+		if ask.IsBare && !isLate && ask.Birth != 0 {
+			m.desk.OnBare(ask.Node, now)
 		}
 		if !isLate {
 			m.isWhole[ask.Node] = true
@@ -400,6 +396,9 @@
 	}
 	room := m.timing.Full
 	for _, set := range m.doc.Sets {
+		if set.Moment > wall && set.By != m.tenure && !m.isSure {
+			return 0
+		}
 		if set.Moment == 0 && !m.isSure && !m.inherited.IsBefore(m.table.Records[SetKey(set.Sequence)].Stamp) {
 			return 0
 		}
@@ -426,7 +425,7 @@
 		}
 		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
 		isRoll := isPrimary && m.isRollNews(held.ask, wall)
-		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait() || m.isShort(held, wall, now)
+		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait()
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
 			continue
@@ -441,7 +440,7 @@
 			if isRoll {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
 			}
-			if m.mayLease(held.ask) {
+			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
 				news.Lease = m.desk.Grant(held.ask.Node, m.room(wall), now)
 			}
 		}
@@ -641,11 +640,9 @@
 			return puts
 		}, Done: done}, true
 	}
-	seen, isSettled := m.settledSets(now)
-	if !isSettled || (m.landedAt != 0 && now < m.landedAt+landPace) {
+	if !m.doc.IsPending() || !m.desk.Settled(m.table.Records[SetKey(m.doc.Newest().Sequence)].Stamp, now) {
 		return Write{}, false
 	}
-	m.landedAt = now
 	earliest := m.desk.Latest(now) + m.timing.Margin
 	m.desk.Freeze(earliest)
 	if isFirst := m.doc.Sets[0].Moment == 0; isFirst {
@@ -653,33 +650,18 @@
 	}
 	m.isLand = true
 	moment := wall + int64(earliest-now)
-	by := m.tenure
+	seen, by := m.doc.Stamp, m.tenure
 	return Write{Build: func(held *table.Table) []table.Put { return setMoments(held, seen, moment, wall, by) }, Done: done}, true
 }
 
-// landPace lets sets that come in quick succession share a write.
-const landPace = 200 * time.Millisecond
-
-// settledSets gives the stamp up to which sets without a moment are held by each
-// node that may hold a lease.
-func (m *Machine) settledSets(now time.Duration) (table.Stamp, bool) {
-	for at := len(m.doc.Sets) - 1; at >= 0 && m.doc.Sets[at].Moment == 0; at-- {
-		stamp := m.table.Records[SetKey(m.doc.Sets[at].Sequence)].Stamp
-		if m.desk.Settled(stamp, now) {
-			return stamp, true
-		}
-	}
-	return table.Stamp{}, false
-}
-
 func (m *Machine) catchUp(wall int64) []view.Set {
 	if !slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return set.Moment > wall }) {
 		return nil
 	}
 	var moved []view.Set
 	for _, set := range m.doc.Sets {
-		isAhead := set.Moment > wall+int64(lease.MostDoubt)
-		isOld := set.By != m.tenure && wall >= set.Due
+		isAhead := set.Moment > wall
+		isOld := set.By != m.tenure && wall >= set.Due && !m.isHonest(set, wall)
 		if isAhead && (set.Sequence <= m.shown || isOld) {
 			set.Moment = 1
 			moved = append(moved, set)
@@ -688,6 +670,12 @@
 	return moved
 }
 
+// isHonest says whether a moment set by an earlier tenure may lie ahead by the
+// clock: one is set that far ahead, and all who hold a lease past it know it.
+func (m *Machine) isHonest(set view.Set, wall int64) bool {
+	return m.isSure && time.Duration(set.Moment-wall) < m.timing.Full+m.timing.Margin
+}
+
 func nextBooking(held *table.Table, wall int64) (view.Booking, bool) {
 	var bookings []view.Booking
 	for _, key := range held.Keys(view.KeyBook) {
@@ -728,13 +716,11 @@
 	return append(puts, EntryPuts(held, wall, "bindings", what, "every leased node has taken it up")...)
 }
 
-const tidyPace = time.Second
-
 // Tidy gives the write that drops sets which every leased node has left
 // behind, if there are any.
 func (m *Machine) Tidy(wall int64, now time.Duration) (Write, bool) {
 	lowest := m.doc.Effective(wall).Sequence
-	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full && now >= m.tidiedAt+tidyPace
+	isDue := !m.isTidy && now > m.desk.Began()+m.timing.Full
 	if !isDue || len(m.doc.Sets) == 0 || m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
@@ -744,7 +730,7 @@
 	if m.doc.Sets[0].Sequence >= lowest {
 		return Write{}, false
 	}
-	m.isTidy, m.tidiedAt = true, now
+	m.isTidy = true
 	return Write{Build: func(held *table.Table) []table.Put {
 		var puts []table.Put
 		for _, set := range view.DocOf(held).Sets {
