--- a/proof/trial/fill_test.go
+++ b/proof/trial/fill_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -20,6 +21,13 @@
 		So(err, ShouldBeNil)
 		So(text, ShouldEqual, `127.0.0.1:7455 "127.0.0.1" ["127.0.0.1:5"] true`)
 	})
+	Convey("A section stands where its value is true or given, and nowhere else", t, func() {
+		text, err := Fill(`a{{#bounds.fence_checked}}b{{ip}}{{/bounds.fence_checked}}c{{#bounds.other}}d{{other}}{{/bounds.other}}e`, fields)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, "ab127.0.0.1ce")
+		_, err = Fill("{{#bounds.fence_checked}}x", fields)
+		So(err, ShouldNotBeNil)
+	})
 	Convey("A gap without a field is told", t, func() {
 		for _, text := range []string{"{{other}}", "{{listen.other}}", "{{seed_nodes.1}}", "{{ip.a}}"} {
 			_, err := Fill(text, fields)
@@ -27,12 +35,16 @@
 		}
 	})
 	Convey("The project's own templates are filled to settings", t, func() {
-		for _, name := range []string{"seamd", "seamc"} {
-			data, err := os.ReadFile(filepath.Join("..", "..", "deploy", name+".json.tmpl"))
-			So(err, ShouldBeNil)
-			text, err := Fill(string(data), fields)
-			So(err, ShouldBeNil)
-			So(json.Valid([]byte(text)), ShouldBeTrue)
+		for _, bounds := range []map[string]any{{}, {"fence_checked": false}, {"fence_checked": true, "apply_ms": 3000, "grace_s": 6, "drain_ms": 7000}} {
+			fields["bounds"] = bounds
+			for _, name := range []string{"seamd", "seamc"} {
+				data, err := os.ReadFile(filepath.Join("..", "..", "deploy", name+".json.tmpl"))
+				So(err, ShouldBeNil)
+				text, err := Fill(string(data), fields)
+				So(err, ShouldBeNil)
+				So(json.Valid([]byte(text)), ShouldBeTrue)
+				So(strings.Contains(text, "grace_s") || strings.Contains(text, "in_force_ms"), ShouldEqual, len(bounds) == 4)
+			}
 		}
 	})
 }
