Let news on which nothing hangs wait until an ask is a tenth of a second old

Cause: while a fleet is founded, and when instances come one after the other, each instance and each writer role that becomes known answered the asks of all nodes, which asked again at once. Ruled out: a pause at the node, which would hold a term's close as well. Change: an ask with a roll of this tenure is told of a newer one, and one with a state of this tenure of writer roles of synced databases that never moved, once it has waited 100 ms. Sets, moves of a role and the first news of a tenure go at once; an answer that goes for another reason carries all. Test: one answer for ten writes where each had one; a set, a close, a promoted primary and a JSON database still go at once.

--- a/pooler/coordination/steer/delta_test.go
+++ b/pooler/coordination/steer/delta_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -20,6 +21,11 @@
 	return table.Put{Key: view.KeyDB + name, Data: table.Encode(view.Writer{Database: name, Term: term, Phase: view.PhaseOpen})}
 }
 
+func syncedPut(writer view.Writer) table.Put {
+	writer.IsSynced = true
+	return table.Put{Key: view.KeyDB + writer.Database, Data: table.Encode(writer)}
+}
+
 func setPut(sequence uint64, moment int64) table.Put {
 	return table.Put{Key: SetKey(sequence), Data: table.Encode(view.Set{Sequence: sequence, Moment: moment})}
 }
@@ -81,6 +87,33 @@
 			So(len(news.Writers), ShouldEqual, 1)
 		})
 	})
+	Convey("Writer roles that become known one by one go together to an ask that has just come; a role that moves, or a set, goes at once", t, func() {
+		for _, kind := range []struct {
+			puts   []table.Put
+			isCalm bool
+		}{
+			{[]table.Put{syncedPut(view.Writer{Database: "db1", Term: 1, Phase: view.PhaseOpen})}, true},
+			{[]table.Put{syncedPut(view.Writer{Database: "db1", Term: 1, Phase: view.PhaseClosing})}, false},
+			{[]table.Put{syncedPut(view.Writer{Database: "db1", Term: 2, Phase: view.PhaseOpen, Holder: "c1"})}, false},
+			{[]table.Put{writerPut("db1", 1)}, false},
+			{[]table.Put{setPut(1, 0)}, false},
+		} {
+			d := newDesk(1, table.New())
+			d.Turn(epoch.Record{Epoch: 2, Primary: "c2"}, d.held, d.now)
+			d.Turn(epoch.Record{Epoch: 3, Primary: "c1"}, d.held, d.now)
+			d.puts(syncedPut(view.Writer{Database: "db0", Term: 1, Phase: view.PhaseOpen}))
+			d.Ask(AskNews{Node: "d1", Kind: view.KindData, Have: d.Doc().Stamp, IsDelta: true}, 1, d.now)
+			answers := len(d.Flush(true, d.wall, d.now))
+			for range 10 {
+				d.puts(kind.puts...)
+				d.pass(5 * time.Millisecond)
+				answers += len(d.Flush(true, d.wall, d.now))
+			}
+			So(answers == 0, ShouldEqual, kind.isCalm)
+			d.pass(calm)
+			So(answers+len(d.Flush(true, d.wall, d.now)), ShouldEqual, 1)
+		}
+	})
 	Convey("What a node makes of deltas is what it would have been told whole", t, func() {
 		for seed := range int64(20) {
 			dice := rand.New(rand.NewSource(seed))
--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -418,8 +418,9 @@
 			replies = append(replies, Reply{held.token, News{IsPrimary: true, Record: m.record, Wall: wall, Held: now - held.came, Tenure: m.number}})
 			continue
 		}
-		isNews := held.ask.Have.IsBefore(m.doc.Stamp)
-		isRoll := isPrimary && m.isRollNews(held.ask, wall)
+		isRested := now >= held.came+calm
+		isNews := held.ask.Have.IsBefore(m.doc.Stamp) && (isRested || !m.isCalm(held.ask))
+		isRoll := isPrimary && m.isRollNews(held.ask, wall) && (isRested || held.ask.Roll.Tenure != m.tenure)
 		isOut := m.isOver(held.came, wall, now) || now >= held.came+m.wait(wall)
 		if !isNews && !isRoll && !isOut && isPrimary {
 			kept = append(kept, held)
@@ -429,10 +430,10 @@
 		if isPrimary {
 			m.tenureOf(wall)
 			news.Tenure = m.number
-			if isNews {
+			if held.ask.Have.IsBefore(m.doc.Stamp) {
 				news.Doc = m.docSince(held.ask)
 			}
-			if isRoll {
+			if m.isRollNews(held.ask, wall) {
 				news.Roll, news.Instances = Roll{Tenure: m.tenureOf(wall), Number: m.rollNo}, m.rollSince(held.ask.Roll)
 			}
 			if held.ask.Kind == view.KindData && m.isKnown(held.ask.Node) && !m.isEnrolling[held.ask.Node] {
@@ -445,6 +446,29 @@
 	return replies
 }
 
+// calm is how long an ask waits before news that nothing hangs on: what comes
+// one by one then goes together.
+const calm = 100 * time.Millisecond
+
+// isCalm says whether all that was written since an ask's stamp is of writer
+// roles of synced databases that never moved.
+func (m *Machine) isCalm(ask AskNews) bool {
+	if m.first == (table.Stamp{}) || ask.Have.IsBefore(m.first) {
+		return false
+	}
+	isAfter := func(key string) bool { return ask.Have.IsBefore(m.table.Records[key].Stamp) }
+	if slices.ContainsFunc(m.doc.Sets, func(set view.Set) bool { return isAfter(view.SetKey(set.Sequence)) }) {
+		return false
+	}
+	for name, writer := range m.doc.Writers {
+		isResting := writer.IsSynced && writer.Phase == view.PhaseOpen && writer.Holder == ""
+		if !isResting && isAfter(view.KeyDB+name) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) docSince(ask AskNews) *view.Doc {
 	doc := m.doc
 	if ask.IsDelta && m.first != (table.Stamp{}) && !ask.Have.IsBefore(m.first) {
