--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -135,6 +135,7 @@
 		status, answer := b.node.Announce(announced("i-1", view.RoleReplica, 4))
 		So(status, ShouldEqual, http.StatusOK)
 		So(answer.(map[string]any)["door"], ShouldEqual, "127.0.0.1:2")
+		SoMsg("the doors of all nodes, which a synced instance does not ask for", answer.(map[string]any)["nodes"], ShouldBeEmpty)
 		late := announced("i-1", view.RolePrimary, 4)
 		status, _ = b.node.Announce(late)
 		So(status, ShouldEqual, http.StatusOK)
--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -411,8 +411,10 @@
 		return http.StatusConflict, Refuse("instance " + instance.Name + " belongs to another database")
 	}
 	doors := []string{}
-	for _, node := range n.Nodes("", member.IsLive) {
-		doors = append(doors, node.Door)
+	if !instance.IsSynced {
+		for _, node := range n.Nodes("", member.IsLive) {
+			doors = append(doors, node.Door)
+		}
 	}
 	answer["nodes"] = doors
 	return http.StatusOK, answer
