--- a/pooler/cmd/control/control.go
+++ b/pooler/cmd/control/control.go
@@ -128,10 +128,7 @@
 // Start begins to act; the node must have been started.
 func (c *Control) Start() {
 	c.node.Crew.Loop(c.queue, beatPace, c.beat)
-	c.node.Crew.Rounds(func() time.Duration {
-		c.duties()
-		return c.pace()
-	})
+	c.node.Crew.Loop(nil, hotPace, c.duties)
 }
 
 func (c *Control) listen() {
--- a/pooler/cmd/control/duties.go
+++ b/pooler/cmd/control/duties.go
@@ -26,15 +26,6 @@
 // The duty of all synced databases is one.
 const syncedDuty = "takeover"
 
-// pace is how long the duties may rest: asks wait for news, and a moving role
-// for its next step, at the primary or while a role moves.
-func (c *Control) pace() time.Duration {
-	if c.isPrimary() || c.isMoving() {
-		return hotPace
-	}
-	return seekPace
-}
-
 func (c *Control) duties() {
 	c.flush()
 	c.move()
--- a/pooler/transport/run/run.go
+++ b/pooler/transport/run/run.go
@@ -78,21 +78,6 @@
 	})
 }
 
-// Rounds runs work again and again, each time after the wait that it gave, until
-// the crew stops.
-func (c *Crew) Rounds(work func() time.Duration) {
-	c.Go(func() {
-		for wait := work(); ; wait = work() {
-			timer := time.NewTimer(wait)
-			_, isIn := Take(timer.C, c.stop)
-			timer.Stop()
-			if !isIn {
-				return
-			}
-		}
-	})
-}
-
 // Stage is one step of a request's way: a bounded queue and its workers.
 type Stage[T any] struct {
 	Name  string
