Ask all control machines in turn where the primary brings no news

Of every three asks without news the third went to control machine number "misses modulo count". With three machines that is the last one each time, so a node whose primary was gone asked the same machine again and again: where that one was gone itself, or cut off, nothing was learned from it until the members dropped it. Calls that are passed on had the same rule.

Ruled out: that no primary was there. Two machines agreed on the epoch with a backup.

Change: the turn counts such asks alone, in one function for both; hollow nodes alike.

Test: asks without news go round all control machines, from one to nine of them; failed before on the first of three.

--- a/pooler/cmd/fleet/fleet.go
+++ b/pooler/cmd/fleet/fleet.go
@@ -489,10 +489,7 @@
 	until := n.Now() + passBound
 	word := "not_kept"
 	for at := 0; n.Now() < until && !n.Crew.IsStopping(); at++ {
-		address, nodes := n.Primary()
-		if (address == "" || at%3 == 2) && len(nodes) > 0 {
-			address = nodes[at%len(nodes)].Link
-		}
+		address := Seeker{Misses: at}.target(n.Primary())
 		if address != "" {
 			operated, err := n.operate(address, path, raw)
 			if err == nil && !operated.IsElsewhere {
--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -7,6 +7,7 @@
 
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/state/view"
 )
 
 // ErrNoPeer says that no watched peer is known.
@@ -19,6 +20,17 @@
 	Misses, Silent int
 }
 
+func (s Seeker) target(primary string, nodes []view.Node) string {
+	if len(nodes) == 0 || (primary != "" && s.Misses%3 != 2) {
+		return primary
+	}
+	turn := s.Misses
+	if primary != "" {
+		turn /= 3
+	}
+	return nodes[turn%len(nodes)].Link
+}
+
 // AskNews asks the control primary, or whoever may know it, for news. After an
 // ask that nobody answered every second one goes through a watched peer, in
 // case only the way to the primary is cut.
@@ -27,10 +39,7 @@
 	if primary == "" && len(nodes) == 0 {
 		return steer.News{}, false
 	}
-	address := primary
-	if len(nodes) > 0 && (address == "" || seeker.Misses%3 == 2) {
-		address = nodes[seeker.Misses%len(nodes)].Link
-	}
+	address := seeker.target(primary, nodes)
 	var reply any
 	var err error
 	if primary != "" && seeker.Silent%2 == 1 {
--- /dev/null
+++ b/pooler/cmd/fleet/news_test.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/state/view"
+)
+
+func TestSeeker(t *testing.T) {
+	Convey("Asks that bring no news go round all control machines, however many there are", t, func() {
+		for _, primary := range []string{"", "gone"} {
+			for count := 1; count <= 9; count++ {
+				var nodes []view.Node
+				for number := range count {
+					nodes = append(nodes, view.Node{Link: fmt.Sprint("link", number)})
+				}
+				asked := map[string]int{}
+				for misses := range 3 * count {
+					asked[Seeker{Misses: misses}.target(primary, nodes)]++
+				}
+				for _, node := range nodes {
+					SoMsg(fmt.Sprintf("%s of %d, primary %q", node.Link, count, primary), asked[node.Link], ShouldBeGreaterThan, 0)
+				}
+			}
+		}
+	})
+	Convey("The primary is asked first, and two times of three after", t, func() {
+		nodes := []view.Node{{Link: "a"}, {Link: "b"}, {Link: "c"}}
+		for misses := range 12 {
+			So(Seeker{Misses: misses}.target("primary", nodes) == "primary", ShouldEqual, misses%3 != 2)
+		}
+		So(Seeker{Misses: 2}.target("primary", nil), ShouldEqual, "primary")
+	})
+}
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -347,7 +347,7 @@
 		return false
 	}
 	if address == "" || misses%3 == 2 {
-		address = others[misses%len(others)]
+		address = others[misses/3%len(others)]
 	}
 	if n.isBarred(address) {
 		return false
