--- a/proof/scale/estimate.go
+++ b/proof/scale/estimate.go
@@ -21,6 +21,7 @@
 	seedEvery      = 8.0
 	asksASecond    = 2.0
 	beatsASecond   = 40.0
+	looksASecond   = 10.0
 	boundCore      = 0.011
 	boundBytes     = 5000.0
 )
@@ -110,7 +111,7 @@
 			core: seconds(whole.Processor, news*fullNodes) + half(whole, news*fullNodes),
 		},
 		{
-			role: "control primary", what: "a takeover's case of each database, once a second", core: seconds(takeover.Processor, fullDatabases),
+			role: "holder of the duty", what: "a takeover's case of each database, ten times a second", core: seconds(takeover.Processor, fullDatabases*looksASecond),
 		},
 		{
 			role: "control primary, backup", what: "the state file, three writes a change", sent: news, out: news * float64(write.Bytes), core: seconds(write.Processor, news), memory: float64(write.Bytes),
