--- a/pooler/cmd/fleet/news.go
+++ b/pooler/cmd/fleet/news.go
@@ -8,6 +8,7 @@
 
 	"tansyseam.example/pooler/coordination/steer"
 	"tansyseam.example/pooler/protocol/msg"
+	"tansyseam.example/pooler/state/view"
 	"tansyseam.example/pooler/transport/run"
 )
 
@@ -21,6 +22,17 @@
 	Misses, Silent int
 }
 
+func (s Seeker) target(primary string, nodes []view.Node) string {
+	if len(nodes) == 0 || (primary != "" && s.Misses%3 != 2) {
+		return primary
+	}
+	turn := s.Misses
+	if primary != "" {
+		turn /= 3
+	}
+	return nodes[turn%len(nodes)].Link
+}
+
 // AskNews asks the control primary, or whoever may know it, for news. After an
 // ask that nobody answered the next goes through a peer of its kind as well, in
 // case only the way to the primary is cut. It ends as soon as another control
@@ -31,10 +43,7 @@
 	if primary == "" && len(nodes) == 0 {
 		return steer.News{}, false
 	}
-	address, silent := primary, seeker.Silent
-	if len(nodes) > 0 && (address == "" || seeker.Misses%3 == 2) {
-		address = nodes[seeker.Misses%len(nodes)].Link
-	}
+	address, silent := seeker.target(primary, nodes), seeker.Silent
 	ways := []func() (any, error){func() (any, error) { return n.Hub.Call(address, ask, bound) }}
 	if primary != "" && silent > 0 {
 		ask.IsBare = false
