Form a machine that missed the word by the first that tells it, as before

Cause: since a machine is lost until more than its own word is on disk, one that had agreed to a fleet and missed "formed" counted as lost, and waited for a majority's standings in place of one; with two such machines of three, the fleet never had a backup. Seen once in proof/scale's small fleet on a busy machine: no set taken within 20 s, one machine in epoch 1 and one in epoch 0.

Ruled out: the load, which only lost the message.

Change: only unsound files keep a machine from being formed by one.

Test: seen failing first (epoch 0, now epoch 1 and a grant).

--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -286,6 +286,7 @@
 	started     time.Duration
 	isLost      bool
 	isTold      bool
+	isUnsound   bool
 	owed        time.Duration
 	isUnsettled bool
 	isAhead     bool
@@ -350,6 +351,7 @@
 	m.isUnsettled = m.ballots.Voter.Promised.Name == self
 	decided := m.ballots.Decided
 	m.isAhead = decided.Primary == self && decided.Backup != "" && m.copy.Stamp.Epoch == decided.Epoch
+	m.isUnsound = saved.IsUnsound
 	isForgetful := saved.Ballots == nil || saved.Ballots.IsLost
 	m.isLost = saved.Identity == nil || saved.IsUnsound || (saved.Identity.IsFormed && isForgetful)
 	m.isTold = m.isLost && !saved.IsUnsound && m.ballots.IsLost
--- a/pooler/coordination/epoch/founding_test.go
+++ b/pooler/coordination/epoch/founding_test.go
@@ -248,3 +248,20 @@
 		}
 	})
 }
+
+func TestFormedByOne(t *testing.T) {
+	Convey("A machine that agreed to a fleet and missed the word that all did is formed by the first that tells it where things stand", t, func() {
+		names := []string{"c1", "c2", "c3"}
+		m := New("c2", 3, DefaultTiming(), Saved{}, time.Hour)
+		m.Step(Peers{Names: names}, time.Hour)
+		identity := Identity{Cluster: "x", Self: "c1", Voters: names}
+		So(sentBy[FormAck](m.Step(Heard{From: "c1", Body: Form{Identity: identity}}, time.Hour)), ShouldNotBeEmpty)
+		ask := sentBy[AskStanding](m.Step(Tick{Wall: 77}, time.Hour+time.Second))[0]
+		identity.IsFormed = true
+		record := Record{Epoch: 1, Primary: "c1", Backup: "c2"}
+		m.Step(Heard{From: "c1", Body: Standing{Identity: identity, Decided: record, Voted: 1, Life: ask.Life}}, time.Hour+time.Second)
+		So(m.Record(), ShouldResemble, record)
+		So(m.IsLost(), ShouldBeFalse)
+		So(sentBy[RenewAck](m.Step(Heard{From: "c1", Body: Renew{Record: record}}, time.Hour+time.Second))[0].IsGranted, ShouldBeTrue)
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -226,7 +226,7 @@
 		m.follow(standing)
 		return
 	}
-	if m.identity != nil && !m.identity.IsFormed && !m.isLost && m.identity.Cluster == standing.Identity.Cluster {
+	if m.identity != nil && !m.identity.IsFormed && !m.isUnsound && m.identity.Cluster == standing.Identity.Cluster {
 		m.beFormed(now)
 		m.adopt(standing.Decided, now, "told standing")
 		return
@@ -256,7 +256,7 @@
 	m.ballots.Decided = best.Decided
 	m.ballots.Muted = max(m.ballots.Muted, best.Decided.Epoch+1, voted+1)
 	m.ballots.Voter = ballot.Voter{}
-	m.isTold = true
+	m.isTold, m.isUnsound = true, false
 	m.isLost = m.ballots.Decided.Primary == m.self || m.ballots.Decided.Backup == m.self
 	m.saveBallots()
 	m.saveIdentity()
