Have a backup that the primary refuses leave it the time that it asks for

A backup had promised its own ballot while the primary was away and a third machine mute. The primary came back and held primacy by the third's grants, but had to win an epoch first; the backup granted nothing, stood again every 0.4 s, in step with the primary, and its name settles equal rounds in its favour: neither won for 18 s. Ruled out: the mute machine (grants renewals, votes as it may), the disk, lost votes. Change: refused by the decided primary, a candidate stands again only when the time is over for which that primary may still be relied on. Test: TestBackupRefusedByThePrimary, seen failing.

--- a/pooler/coordination/epoch/epoch_test.go
+++ b/pooler/coordination/epoch/epoch_test.go
@@ -252,3 +252,37 @@
 		So(sentBy[Accepted](m.Step(accept("c2"), now+timing.Primacy)), ShouldNotBeEmpty)
 	})
 }
+
+func TestBackupRefusedByThePrimary(t *testing.T) {
+	prepares := func(effects []Effect) int {
+		count := 0
+		for _, effect := range effects {
+			if send, isSend := effect.(Send); isSend {
+				if _, isPrepare := send.Body.(Prepare); isPrepare {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	Convey("A backup that stood and was refused by a primary that is back leaves it the time that it asks for, and then stands again", t, func() {
+		now := time.Hour
+		backup := started("c2", now)
+		now += DefaultTiming().Primacy + time.Millisecond
+		So(prepares(backup.Step(Tick{}, now)), ShouldBeGreaterThan, 0)
+		asked := backup.round.Number
+		wait := DefaultTiming().Primacy - 50*time.Millisecond
+		refused := now + 2*time.Millisecond
+		backup.Step(Heard{From: "c1", Body: Promised{Epoch: 5, Number: asked, Wait: wait, Decided: backup.Record(), Higher: ballot.Number{Round: 9, Name: "c1"}}}, refused)
+		for now < refused+wait-20*time.Millisecond {
+			now += 10 * time.Millisecond
+			So(prepares(backup.Step(Tick{}, now)), ShouldEqual, 0)
+		}
+		stood := 0
+		for now < refused+wait+40*time.Millisecond {
+			now += 10 * time.Millisecond
+			stood += prepares(backup.Step(Tick{}, now))
+		}
+		So(stood, ShouldBeGreaterThan, 0)
+	})
+}
--- a/pooler/coordination/epoch/steps.go
+++ b/pooler/coordination/epoch/steps.go
@@ -438,6 +438,9 @@
 	if isCurrent && !promised.IsGiven && promised.Wait > 0 && (m.retry == 0 || now+promised.Wait < m.retry) {
 		m.retry = now + promised.Wait
 	}
+	if isCurrent && !promised.IsGiven && from == m.ballots.Decided.Primary {
+		m.waitUntil = max(m.waitUntil, now+promised.Wait)
+	}
 	if m.round == nil || !promised.IsGiven || promised.Number != m.round.Number || promised.Epoch != m.roundFor.Epoch+1 {
 		return
 	}
