Let the test command pass over no test where no known fault is listed

Cause: sed fails where KNOWN-RED.txt is not there, and with it the test command, which ended after 3.6 s in a fresh clone. Change: the list is read only where it stands.

--- a/test.sh
+++ b/test.sh
@@ -14,7 +14,10 @@
 done
 # Tests of KNOWN-RED.txt fail for faults that are known and not mended yet: they
 # are passed over here, then run and printed, whatever comes of them.
-red=$(sed -n 's/^\(Test[A-Za-z0-9]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+red=
+if [ -s KNOWN-RED.txt ]; then
+  red=$(sed -n 's/^\(Test[A-Za-z0-9]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
+fi
 go test -race -count=1 -timeout 10m -skip "^(${red:-none})\$" ./platform/... ./pooler/... ./proof/...
 go test -count=1 -timeout 10m -skip "^(${red:-none})\$" ./proof/sim ./pooler/transport/web
 if [ -n "$red" ]; then
