--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -304,3 +304,10 @@
 		}
 	})
 }
+
+func TestBookedSetBesideManyEpochs(t *testing.T) {
+	onlyWithoutRace(t)
+	Convey("A booked set shows everywhere within 3 s of its due time, on a seed with sixteen epochs", t, func() {
+		So(Run(14000423, Magnolia(), Plant{}, nil).Faults, ShouldBeEmpty)
+	})
+}
