Lease nobody beside an inherited pending set after a restart with primacy kept

A set was in force 3.01 to 3.8 s after it was due (TestBookedSetBesideManyEpochs, bound 3 s). Cause: the control primary's process ended and came back while its own record still named it. A primary that takes over from another notes up to which stamp it inherited the state, so that beside a pending set of that state it leases nobody while its clock cannot be trusted. A restart with the same record in force noted nothing, since only a change of holder did. Its clock, taken from two machines one of which was 2.3 s behind, was not to be trusted, and the pending set's age was reckoned 2.3 s too low.

Ruled out: the lease of the node that was cut off (it had lapsed), the count of epochs, the skew restored later.

Change: what is inherited is noted wherever the desk of leases begins anew.

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -202,6 +202,7 @@
 	m.shows, m.shown = map[string]uint64{}, 0
 	m.settled = map[string]settledAt{}
 	m.isLand, m.isTidy = false, false
+	m.inherited = m.table.Stamp
 	m.clearSynced()
 }
 
@@ -278,7 +279,6 @@
 	m.Wrote(held)
 	if isNew {
 		m.clear(now)
-		m.inherited = held.Stamp
 	}
 	return isNew
 }
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -197,6 +197,22 @@
 			So(replies[0].News.Lease > 0, ShouldEqual, isSure)
 		}
 	})
+	Convey("Nor does one that started again and holds primacy by the record that it held before", t, func() {
+		first := newDesk(1, table.New())
+		first.ask("d1", table.Stamp{})
+		puts, _ := PutSet(first.held, 0, []view.Binding{{Name: "x", Database: "x"}}, "call", first.wall)
+		first.write(Write{Build: func(*table.Table) []table.Put { return puts }, Done: func() {}})
+		for _, isSure := range []bool{false, true} {
+			again := newDesk(1, first.held)
+			again.wall -= int64(4 * time.Second)
+			again.Turn(epoch.Record{Epoch: 2, Primary: "c1"}, first.held, again.now)
+			again.Trust(isSure)
+			again.Ask(AskNews{Node: "d1", Kind: view.KindData}, 1, again.now)
+			replies := again.Flush(true, again.wall, again.now)
+			So(len(replies), ShouldEqual, 1)
+			So(replies[0].News.Lease > 0, ShouldEqual, isSure)
+		}
+	})
 }
 
 func TestWhereAnInstanceStands(t *testing.T) {
