--- a/proof/search/host.go
+++ b/proof/search/host.go
@@ -42,9 +42,9 @@
 	isFrozen, isHung, isAlone bool
 
 	// lagging is what a planted defect has not synced yet.
-	lagging  epoch.Effect
-	told     uint64
-	isWiped  bool
+	lagging epoch.Effect
+	told    uint64
+	isWiped bool
 	// past holds the incarnations that the machine voted with before it lost a disk.
 	past     map[uint64]bool
 	promises map[uint64]ballot.Number
@@ -126,6 +126,9 @@
 	if w.shape.Plant.IsSameDisk && saved.Identity != nil {
 		saved.Identity.Incarnation = 0
 	}
+	if w.shape.Plant.IsOldVoter && saved.Ballots != nil {
+		saved.Ballots.Decided.Voters = w.founded(h.name).Ballots.Decided.Voters
+	}
 	h.lives++
 	h.isUp, h.isFrozen, h.primacy, h.public, h.inbox = true, false, 0, nil, nil
 	h.machine = epoch.NewFounding(h.name, epoch.Founding{Voters: 2*w.shape.Copies - 1, IsPaired: true}, epoch.DefaultTiming(), saved, w.now)
--- a/proof/search/search.go
+++ b/proof/search/search.go
@@ -28,6 +28,9 @@
 	// IsSameDisk: a machine that lost its disk and starts again takes itself for the
 	// voter that it was.
 	IsSameDisk bool
+	// IsOldVoter: a machine that starts again counts the voters that the fleet was
+	// founded with.
+	IsOldVoter bool
 }
 
 // Shape bounds a search.
--- a/proof/search/search_test.go
+++ b/proof/search/search_test.go
@@ -67,6 +67,10 @@
 			Machines: 5, Faults: 3, Wipes: 1, Round: coarse, Rounds: 9, Copies: 2, Only: []string{"wiped", "killed"}, At: []string{"c1", "c2"},
 			Plant: Plant{IsSameDisk: true},
 		}, "disk is blank"},
+		{"a machine that starts again counts the voters before a replacement", Shape{
+			Machines: 3, Standbys: 1, Faults: 2, Round: lasting, Rounds: 16, Copies: 2, Only: []string{"killed"}, At: []string{"c1", "c3"}, IsSpaced: true,
+			Plant: Plant{IsOldVoter: true},
+		}, "has two records"},
 	}
 	Convey("Defects planted around the machines are found, and the course ends with them", t, func() {
 		var shapes []Shape
