Take one content under one version, and keep leavers until their vote has a place

Two operators were both acknowledged under one version: any manifest whose version was not above the one held was, whatever it said. Now the digest of each manifest taken is kept with its version, for the last 1,024 at least, 64 to a record: the same content is acknowledged again, another is refused with 409, from whichever machine, after takeovers and after hundreds more. A version never taken that is below the one held is acknowledged and changes nothing, as before.

Now a voter is released only where the others are a majority, waits 5 s at most, and a voter that failed lately is tried where the backup ends.

--- a/pooler/cmd/control/control_test.go
+++ b/pooler/cmd/control/control_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,8 +96,12 @@
 	return view.Instance{Name: name, Database: "db", Address: "10.0.0.1:80", Zone: "z", Role: role, IsSynced: true, Calls: calls, Slots: 5}
 }
 
+func asSent(version int) string {
+	return base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("as sent %d", version)))
+}
+
 func manifestOf(version int, timeout int) string {
-	raw := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("as sent %d", version)))
+	raw := asSent(version)
 	return fmt.Sprintf(`{"version":%d,"bindings":[{"name":"b","database":"db","timeout_ms":%d}],"databases":[{"name":"db","connections":80,"synced":1}],"raw":%q}`, version, timeout, raw)
 }
 
@@ -114,6 +119,14 @@
 		status, answer = b.operate("/v1/manifest/replace", manifestOf(8, 0))
 		So(status, ShouldEqual, http.StatusBadRequest)
 		So(string(answer.GetStringBytes("faults", "0", "path")), ShouldEqual, "/bindings/0/timeout_ms")
+		for range 2 {
+			status, _ = b.operate("/v1/manifest/replace", manifestOf(7, 1000))
+			So(status, ShouldEqual, http.StatusOK)
+			status, _ = b.operate("/v1/manifest/replace", manifestOf(6, 2000))
+			So(status, ShouldEqual, http.StatusOK)
+			status, _ = b.operate("/v1/manifest/replace", strings.ReplaceAll(manifestOf(7, 1000), asSent(7), asSent(70)))
+			So(status, ShouldEqual, http.StatusConflict)
+		}
 		status, _ = b.operate("/v1/manifest/replace", `{"version":`)
 		So(status, ShouldEqual, http.StatusBadRequest)
 		for _, one := range []*bench{b, newBench(t, folder)} {
--- a/pooler/cmd/control/manifests.go
+++ b/pooler/cmd/control/manifests.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -44,13 +45,14 @@
 		answer(operated(http.StatusBadRequest, fleet.Refuse("the manifest is broken; nothing of it was taken", faults...)))
 		return
 	}
-	packed := pack(raw)
-	isNew := false
+	sent := steer.Manifest{Version: set.Version, Set: set, Packed: pack(raw), Digest: steer.DigestOf(set, raw), Source: "manifest"}
+	isNew, isConflict := false, false
 	c.submit(func(held *table.Table) []table.Put {
 		c.mutex.Lock()
 		wall := c.wallNow()
 		c.mutex.Unlock()
-		puts, _ := steer.PutManifest(held, set.Version, set, packed, "manifest", wall)
+		var puts []table.Put
+		puts, isConflict = steer.PutManifest(held, sent, wall)
 		isNew = len(puts) > 0
 		return puts
 	}, func(done epoch.Answer) {
@@ -60,6 +62,11 @@
 			answer(operated(http.StatusServiceUnavailable, refusal))
 			return
 		}
+		if isConflict {
+			c.node.Counts.Add("manifests_conflicting", 1)
+			answer(operated(http.StatusConflict, fleet.Refuse(fmt.Sprintf("another manifest was taken as version %d; send this one under a version of its own", set.Version))))
+			return
+		}
 		if isNew {
 			c.node.Counts.Add("manifests_taken", 1)
 			c.log.Info("manifest taken", "version", set.Version, "bindings", len(set.Bindings), "databases", len(set.Databases))
--- a/pooler/cmd/seamc/main.go
+++ b/pooler/cmd/seamc/main.go
@@ -27,7 +27,7 @@
 }
 
 // leaveBound is how long a machine waits for others to take its roles over.
-const leaveBound = 2500 * time.Millisecond
+const leaveBound = 5 * time.Second
 
 func main() {
 	os.Exit(start.Main("seamc", os.Args[1:], func(node *fleet.Node, place settings.Settings) (start.Program, error) {
--- a/pooler/coordination/epoch/membership.go
+++ b/pooler/coordination/epoch/membership.go
@@ -136,15 +136,29 @@
 }
 
 // onLeaving notes that a voter ends. It is released at once where no standby could
-// vote in its place.
+// vote in its place, and the others are a majority without it.
 func (m *Machine) onLeaving(from string, _ Leaving, now time.Duration) {
 	m.leaving[from] = now
 	isIdle := from != m.ballots.Decided.Primary && from != m.ballots.Decided.Backup
-	if m.hasPrimacy(now) && isIdle && !m.hasStandby(now) {
+	if m.hasPrimacy(now) && isIdle && !m.hasStandby(now) && m.canSpare(from, now) {
 		m.send(from, Released{Epoch: m.ballots.Decided.Epoch})
 	}
 }
 
+// canSpare says whether the voters that answer are a majority without one of them.
+func (m *Machine) canSpare(name string, now time.Duration) bool {
+	names := m.Voters()
+	count := 0
+	for _, other := range names {
+		at, isHeard := m.acks[other]
+		isThere := other == m.self || (isHeard && now-at < m.timing.Primacy)
+		if isThere && other != name && !m.isLeavingNow(other, now) {
+			count++
+		}
+	}
+	return count > len(names)/2
+}
+
 // hasStandby says whether a machine offered to vote lately, in whichever epoch.
 func (m *Machine) hasStandby(now time.Duration) bool {
 	for name, one := range m.standbys {
--- a/pooler/coordination/epoch/membership_test.go
+++ b/pooler/coordination/epoch/membership_test.go
@@ -312,6 +312,28 @@
 		c.run(catchUp)
 		So(c.kept(2), ShouldBeTrue)
 	})
+	Convey("A voter without which there is no majority waits for a standby that comes while it is about to end", t, func() {
+		c, founding := foundedOf(3, "c1", "c2", "c3")
+		witness := c.witness()
+		c.up[c.machines[c.primary()].Record().Backup] = false
+		c.run(time.Second)
+		c.step(witness, Leave{})
+		c.run(time.Second)
+		So(c.machines[witness].IsFree(), ShouldBeFalse)
+		c.add(founding, "n1")
+		c.run(time.Second)
+		So(c.machines[witness].IsFree(), ShouldBeTrue)
+		c.up[witness] = false
+		c.run(time.Second)
+		So(c.kept(1), ShouldBeTrue)
+	})
+	Convey("A backup that ends is followed by a voter that failed lately, where there is no other", t, func() {
+		c, _ := foundedOf(3, "c1", "c2", "c3")
+		backup := c.machines[c.primary()].Record().Backup
+		c.machines[c.primary()].shunned[c.witness()] = c.now + time.Hour
+		So(leave(c, backup), ShouldBeLessThan, time.Second)
+		So(c.kept(1), ShouldBeTrue)
+	})
 	Convey("All machines of a fleet may be restarted in turn, many times, and writes go on", t, func() {
 		c, _ := foundedOf(3, "c1", "c2", "c3")
 		for token := uint64(1); token < 20; token++ {
--- a/pooler/coordination/epoch/replication.go
+++ b/pooler/coordination/epoch/replication.go
@@ -111,6 +111,8 @@
 	}
 }
 
+// bringIn fills the copy of a voter that is to be the backup. One that failed lately
+// is tried only while the backup is about to end.
 func (m *Machine) bringIn(now time.Duration) {
 	if m.repairing != nil && now-m.repairing.sent < m.timing.Reply {
 		return
@@ -119,21 +121,29 @@
 		m.shunned[m.repairing.peer] = now + m.timing.Primacy
 		m.repairing = nil
 	}
+	best := m.lastHeard(now, func(name string) bool { return now >= m.shunned[name] })
+	if best == "" && m.isLeavingNow(m.ballots.Decided.Backup, now) {
+		best = m.lastHeard(now, func(string) bool { return true })
+	}
+	if best != "" {
+		m.offer(best, now)
+	}
+}
+
+// lastHeard gives the voter last heard of those that could be the backup.
+func (m *Machine) lastHeard(now time.Duration, isFit func(string) bool) string {
 	best := ""
 	m.others(func(name string) {
 		at, isHeard := m.acks[name]
-		isUnfit := name == m.ballots.Decided.Backup || m.isLeavingNow(name, now) || now < m.shunned[name]
-		if !isHeard || now-at > m.timing.Primacy || isUnfit {
+		isOut := name == m.ballots.Decided.Backup || m.isLeavingNow(name, now) || !isFit(name)
+		if !isHeard || now-at > m.timing.Primacy || isOut {
 			return
 		}
 		if best == "" || m.acks[best] < at {
 			best = name
 		}
 	})
-	if best == "" {
-		return
-	}
-	m.offer(best, now)
+	return best
 }
 
 func (m *Machine) offer(peer string, now time.Duration) {
--- a/pooler/coordination/steer/calls.go
+++ b/pooler/coordination/steer/calls.go
@@ -73,21 +73,34 @@
 // RawKey is the key of a manifest's bytes.
 func RawKey(sequence uint64) string { return fmt.Sprintf("%s%012d", view.KeyRaw, sequence) }
 
-// PutManifest gives the puts that take a manifest by its operator's version,
-// and the version held before; none where that is not below the given one.
-func PutManifest(held *table.Table, version uint64, set view.Set, raw []byte, source string, wall int64) ([]table.Put, uint64) {
+// Manifest is a whole configuration that an operator sent under a version.
+type Manifest struct {
+	Version uint64
+	Set     view.Set
+	// Packed holds its bytes as they were sent, packed, where they are kept.
+	Packed []byte
+	Digest Digest
+	Source string
+}
+
+// PutManifest gives the puts that take a manifest. There are none where the version
+// held is not below its own: then isConflict says whether other content was taken under
+// that version.
+func PutManifest(held *table.Table, sent Manifest, wall int64) (puts []table.Put, isConflict bool) {
 	newest := view.DocOf(held).Newest()
-	if newest.Version >= version {
-		return nil, newest.Version
+	if newest.Version >= sent.Version {
+		return nil, isOther(held, sent.Version, sent.Digest)
 	}
-	set.Version, set.Taken, set.Source = version, wall, source
+	set := sent.Set
+	set.Version, set.Taken, set.Source = sent.Version, wall, sent.Source
 	set = follow(newest, set)
-	puts := []table.Put{{Key: SetKey(set.Sequence), Data: table.Encode(set)}}
-	if len(raw) > 0 {
-		puts = append(puts, table.Put{Key: RawKey(set.Sequence), Data: raw})
+	puts = []table.Put{{Key: SetKey(set.Sequence), Data: table.Encode(set)}}
+	if len(sent.Packed) > 0 {
+		puts = append(puts, table.Put{Key: RawKey(set.Sequence), Data: sent.Packed})
 	}
-	what := fmt.Sprintf("version %d taken as sequence %d", version, set.Sequence)
-	return append(puts, EntryPuts(held, wall, "bindings", what, source)...), newest.Version
+	puts = append(puts, noteVersion(held, set.Sequence, takenVersion{Version: sent.Version, Digest: sent.Digest})...)
+	what := fmt.Sprintf("version %d taken as sequence %d", sent.Version, set.Sequence)
+	return append(puts, EntryPuts(held, wall, "bindings", what, sent.Source)...), false
 }
 
 // Raw gives the bytes of the newest manifest as they were sent, where they
--- a/pooler/coordination/steer/life_test.go
+++ b/pooler/coordination/steer/life_test.go
@@ -52,7 +52,7 @@
 					d.ask(fmt.Sprintf("d%d", at/2+one), d.held.Stamp)
 				}
 				d.write(Write{Build: func(held *table.Table) []table.Put {
-					puts, _ := PutManifest(held, uint64(at+1), routes(3, at), []byte("raw"), "operator", d.wall)
+					puts, _ := PutManifest(held, Manifest{Version: uint64(at + 1), Set: routes(3, at), Packed: []byte("raw"), Source: "operator"}, d.wall)
 					return Keep(held, fmt.Sprint("call", at), Outcome{Status: 200, Path: "/v1/manifest/replace"}, puts)
 				}, Done: func() {}})
 				for range 5 {
@@ -77,7 +77,7 @@
 		for at := range 12 {
 			d.ask("d1", table.Stamp{})
 			d.write(Write{Build: func(held *table.Table) []table.Put {
-				puts, _ := PutManifest(held, uint64(at+1), routes(8000, at), raw, "operator", d.wall)
+				puts, _ := PutManifest(held, Manifest{Version: uint64(at + 1), Set: routes(8000, at), Packed: raw, Source: "operator"}, d.wall)
 				return puts
 			}, Done: func() {}})
 			d.settle()
--- a/pooler/coordination/steer/synced_test.go
+++ b/pooler/coordination/steer/synced_test.go
@@ -261,7 +261,8 @@
 func TestManifests(t *testing.T) {
 	put := func(d *desk, version uint64, raw string) bool {
 		return d.write(Write{Build: func(held *table.Table) []table.Put {
-			puts, _ := PutManifest(held, version, view.Set{Bindings: []view.Binding{{Name: "b", Database: "db"}}, Databases: []view.Database{{Name: "db", Connections: 80}}}, []byte(raw), "test", d.wall)
+			set := view.Set{Bindings: []view.Binding{{Name: "b", Database: "db"}}, Databases: []view.Database{{Name: "db", Connections: 80}}}
+			puts, _ := PutManifest(held, Manifest{Version: version, Set: set, Packed: []byte(raw), Digest: DigestOf(set, []byte(raw)), Source: "test"}, d.wall)
 			return puts
 		}, Done: func() {}}) > 0
 	}
--- a/pooler/state/view/view.go
+++ b/pooler/state/view/view.go
@@ -289,6 +289,8 @@
 	KeyCall  = "call/"
 	KeyNode  = "node/"
 	KeyEntry = "entry/"
+	// KeyVersions holds what was taken under which version, many to a record.
+	KeyVersions = "versions/"
 	// KeyRaw holds a manifest's bytes as they were sent, by sequence.
 	KeyRaw = "raw/"
 )
--- a/proof/sim/lines.go
+++ b/proof/sim/lines.go
@@ -275,7 +275,8 @@
 		return
 	}
 	disk.submit(func(held *table.Table) []table.Put {
-		puts, _ := steer.PutManifest(held, version, l.setOf(version), nil, "operator", disk.wallNow())
+		set := l.setOf(version)
+		puts, _ := steer.PutManifest(held, steer.Manifest{Version: version, Set: set, Digest: steer.DigestOf(set, nil), Source: "operator"}, disk.wallNow())
 		return puts
 	}, func(done epoch.Answer) {
 		if !done.IsKept {
--- a/proof/sim/membership.go
+++ b/proof/sim/membership.go
@@ -13,7 +13,7 @@
 
 // leaveBound is how long a control machine that is told to end waits for others to
 // take its roles over.
-const leaveBound = 2500 * time.Millisecond
+const leaveBound = 5 * time.Second
 
 // replaceControl takes a control machine of a whole fleet away for good, and starts one
 // with a blank disk after a while; where that is planned, the new one first.
