--- a/pooler/coordination/ballot/ballot.go
+++ b/pooler/coordination/ballot/ballot.go
@@ -112,6 +112,9 @@
 
 // Vote answers an Ask.
 type Vote struct {
+	// Voter is who voted: another machine may answer at an address than the one
+	// that was asked.
+	Voter     string
 	Duty      string
 	Go        uint64
 	IsGranted bool
--- a/pooler/coordination/duty/duty.go
+++ b/pooler/coordination/duty/duty.go
@@ -156,15 +156,18 @@
 func (m *Machine) OnAsk(from string, ask ballot.Ask, now time.Duration) ballot.Vote {
 	isFit := m.voters.IsMember && !m.voters.IsChanging && ask.Voters == string(m.voters.Voters)
 	if !isFit {
-		return ballot.Vote{Duty: ask.Duty, Go: ask.Go}
+		return ballot.Vote{Voter: m.self, Duty: ask.Duty, Go: ask.Go}
 	}
-	return m.keeper.OnAsk(from, ask, now)
+	vote := m.keeper.OnAsk(from, ask, now)
+	vote.Voter = m.self
+	return vote
 }
 
-// OnVote counts a vote; true when it wins the duty anew.
+// OnVote counts a vote; true when it wins the duty anew. A vote that another machine
+// gave than the one that was asked is none.
 func (m *Machine) OnVote(from string, vote ballot.Vote, now time.Duration) bool {
 	seeker, isKnown := m.seekers[vote.Duty]
-	return isKnown && seeker.OnVote(from, vote, now)
+	return isKnown && vote.Voter == from && seeker.OnVote(from, vote, now)
 }
 
 // Sought is what the machine shows of a duty.
--- a/pooler/coordination/duty/duty_test.go
+++ b/pooler/coordination/duty/duty_test.go
@@ -171,6 +171,17 @@
 		So(ask(m, "c1", after, true, now), ShouldBeTrue)
 		So(ask(m, "n1", after, false, now), ShouldBeFalse)
 	})
+	Convey("The vote of a machine that answers at another's address counts for neither", t, func() {
+		seeker := voter("c1", before)
+		seeker.Learn([]string{"db"}, []string{"db"})
+		canvass := seeker.Seek(Situation{IsPrimary: true}, now)[0].(Canvass)
+		vote := voter("c2", before).OnAsk("c1", canvass.Ask, now)
+		So(vote.IsGranted, ShouldBeTrue)
+		So(seeker.OnVote("c2", vote, now), ShouldBeFalse)
+		So(seeker.OnVote("c3", vote, now), ShouldBeFalse)
+		So(seeker.seekers[synced].IsHeld(now), ShouldBeFalse)
+		So(seeker.OnVote("c1", seeker.OnAsk("c1", canvass.Ask, now), now), ShouldBeTrue)
+	})
 	Convey("A machine without a vote gives none, and one that has come to have it none for a term, nor one that has it again", t, func() {
 		outside := before
 		outside.IsMember = false
--- a/pooler/protocol/msg/msg.go
+++ b/pooler/protocol/msg/msg.go
@@ -71,15 +71,20 @@
 
 var once sync.Once
 
+// Bodies lists one of each message.
+func Bodies() []any {
+	own := []any{
+		steer.AskNews{}, steer.Told{}, steer.News{}, PassNews{}, Operate{}, Operated{}, AskCase{}, CaseAnswer{}, steer.RecordCase{},
+		Recorded{}, goes.Ask{}, goes.Answer{}, goes.Legacy{}, goes.LegacyTaken{}, Query{}, QueryAnswer{}, ballot.Ask{}, ballot.Vote{}, member.Gossip{},
+		Announce{}, Announced{}, takeover.Mark{}, Turned{},
+	}
+	return append(own, epoch.Messages()...)
+}
+
 // Register makes all messages known to the codec.
 func Register() {
 	once.Do(func() {
-		own := []any{
-			steer.AskNews{}, steer.Told{}, steer.News{}, PassNews{}, Operate{}, Operated{}, AskCase{}, CaseAnswer{}, steer.RecordCase{},
-			Recorded{}, goes.Ask{}, goes.Answer{}, goes.Legacy{}, goes.LegacyTaken{}, Query{}, QueryAnswer{}, ballot.Ask{}, ballot.Vote{}, member.Gossip{},
-			Announce{}, Announced{}, takeover.Mark{}, Turned{},
-		}
-		for _, body := range append(own, epoch.Messages()...) {
+		for _, body := range Bodies() {
 			gob.Register(body)
 		}
 	})
