Have a primary that hears nobody renew seldom, so that the backup can take over

Finding of the simulator (a control primary cut off for 20 s, so that others hear it and it hears none): no order was taken and no read answered for the whole 20 s. Each of its renewals bound the voters to it for 700 ms, ten times a second, though no grant reached it, so that none could help the backup.

Change: a primary without primacy that has not heard a majority of the voters for two spans of primacy renews every three spans only; it asks at once when it hears them.

Ruled out: reads and orders at the machine that is cut off (none was answered without primacy; a planted machine that answers reads without it is found).

Tests: TestPrimaryThatHearsNobody and TestControlCutOffForLong (four ways of the cut), both seen failing.

--- a/pooler/coordination/epoch/dispatch.go
+++ b/pooler/coordination/epoch/dispatch.go
@@ -74,6 +74,7 @@
 }
 
 func (m *Machine) onHeard(event Heard, now time.Duration) {
+	m.heardFrom[event.From] = now
 	if step, isKnown := hearers[kindOf(event.Body)]; isKnown {
 		step(m, event.From, event.Body, now)
 	}
--- a/pooler/coordination/epoch/epoch.go
+++ b/pooler/coordination/epoch/epoch.go
@@ -153,6 +153,8 @@
 	repairing *repair
 	shunned   map[string]time.Duration
 	grantsBy  map[string]time.Duration
+	// heardFrom tells when each machine was last heard in whatever message.
+	heardFrom map[string]time.Duration
 	// standbys are the machines that offered to vote, leaving the voters that are
 	// about to end, and votersAt when this primary first counted on its voters.
 	standbys  map[string]standby
@@ -180,7 +182,7 @@
 		copies: saved.Copies, started: now, formed: map[string]Member{},
 		acks: map[string]time.Duration{}, walls: map[string]int64{}, grantsBy: map[string]time.Duration{},
 		shunned: map[string]time.Duration{}, spares: map[string]table.Stamp{},
-		standbys: map[string]standby{}, leaving: map[string]time.Duration{},
+		standbys: map[string]standby{}, leaving: map[string]time.Duration{}, heardFrom: map[string]time.Duration{},
 	}
 	m.restore(saved)
 	if saved.Table != nil {
@@ -229,7 +231,7 @@
 	other.formed, other.standbys, other.leaving = maps.Clone(m.formed), maps.Clone(m.standbys), maps.Clone(m.leaving)
 	other.acks, other.walls = maps.Clone(m.acks), maps.Clone(m.walls)
 	other.shunned, other.grantsBy = maps.Clone(m.shunned), maps.Clone(m.grantsBy)
-	other.spares = maps.Clone(m.spares)
+	other.spares, other.heardFrom = maps.Clone(m.spares), maps.Clone(m.heardFrom)
 	other.queue, other.effects = slices.Clone(m.queue), nil
 	return &other
 }
--- a/pooler/coordination/epoch/membership_test.go
+++ b/pooler/coordination/epoch/membership_test.go
@@ -354,6 +354,44 @@
 	})
 }
 
+func TestPrimaryThatHearsNobody(t *testing.T) {
+	Convey("A primary that others hear, and that hears nobody, leaves them the time to make the backup primary", t, func() {
+		now := time.Hour + time.Second
+		primary, backup, witness := started("c1", time.Hour), started("c2", time.Hour), started("c3", time.Hour)
+		all := map[string]*Machine{"c2": backup, "c3": witness}
+		var carry func(from string, effects []Effect)
+		carry = func(from string, effects []Effect) {
+			for len(effects) > 0 {
+				send, isSend := effects[0].(Send)
+				effects = effects[1:]
+				if to := all[send.To]; isSend && to != nil && from != send.To {
+					for _, answer := range to.Step(Heard{From: from, Body: send.Body}, now) {
+						if back, isBack := answer.(Send); isBack && all[back.To] != nil {
+							carry(send.To, []Effect{back})
+						}
+					}
+				}
+			}
+		}
+		for until := now + 6*time.Second; now < until && !backup.IsPrimary(now); now += 20 * time.Millisecond {
+			carry("c1", primary.Step(Tick{Wall: 7}, now))
+			carry("c2", backup.Step(Tick{Wall: 7}, now))
+			carry("c3", witness.Step(Tick{Wall: 7}, now))
+			So(primary.IsPrimary(now), ShouldBeFalse)
+		}
+		So(backup.IsPrimary(now), ShouldBeTrue)
+		So(now, ShouldBeLessThan, time.Hour+6*time.Second)
+	})
+	Convey("One that hears a majority again asks at once", t, func() {
+		now := time.Hour + 10*time.Second
+		m := started("c1", time.Hour)
+		So(sentBy[Renew](m.Step(Tick{Wall: 7}, now)), ShouldNotBeEmpty)
+		So(sentBy[Renew](m.Step(Tick{Wall: 7}, now+time.Second)), ShouldBeEmpty)
+		m.Step(Heard{From: "c3", Body: AskStanding{}}, now+time.Second)
+		So(sentBy[Renew](m.Step(Tick{Wall: 7}, now+time.Second)), ShouldNotBeEmpty)
+	})
+}
+
 func TestElectorate(t *testing.T) {
 	Convey("A voter that has accepted a record with other voters says so until an epoch settles it", t, func() {
 		now := time.Hour + time.Second
--- a/pooler/coordination/epoch/primacy.go
+++ b/pooler/coordination/epoch/primacy.go
@@ -41,12 +41,13 @@
 func (m *Machine) tickPrimary(now time.Duration) {
 	if m.isStalled() {
 		m.refuseIdle(now)
+		m.renewed = now - deafPace*m.timing.Primacy
 		return
 	}
 	if m.pending != nil && m.owed > 0 {
 		m.pending.sent = now
 	}
-	if now-m.renewed >= m.timing.Renew {
+	if now-m.renewed >= m.renewPace(now) {
 		m.renewed = now
 		m.setClock(now)
 		m.others(func(name string) { m.send(name, Renew{Record: m.ballots.Decided, Sent: now, Life: m.life}) })
@@ -89,6 +90,31 @@
 	m.pump(now)
 }
 
+// deafPace is how many spans of primacy a primary that does not hear a majority leaves
+// between renewals: voters that hear it are bound by each for one span, and could
+// not help the backup if they followed each other closer.
+const deafPace = 3
+
+func (m *Machine) renewPace(now time.Duration) time.Duration {
+	if m.hasPrimacy(now) || m.hearsMajority(now) {
+		return m.timing.Renew
+	}
+	return deafPace * m.timing.Primacy
+}
+
+// hearsMajority says whether a majority of the voters, this machine among them, was
+// heard lately, or may not have had the time since this machine started.
+func (m *Machine) hearsMajority(now time.Duration) bool {
+	names := m.Voters()
+	count := 0
+	for _, name := range names {
+		if name == m.self || now-max(m.heardFrom[name], m.started) < unheardSpans*m.timing.Primacy {
+			count++
+		}
+	}
+	return count > len(names)/2
+}
+
 func (m *Machine) isUnpaired() bool {
 	return m.founding.IsPaired && m.ballots.Decided.Backup == "" && len(m.Voters()) > 1
 }
--- a/proof/sim/fleet.go
+++ b/proof/sim/fleet.go
@@ -36,6 +36,8 @@
 	IsHasty bool
 	// IsTwisted: the control primary writes other bindings than it was sent.
 	IsTwisted bool
+	// IsReadAnywhere: a control machine answers reads also without primacy.
+	IsReadAnywhere bool
 }
 
 // Shape is the size of a simulated fleet.
@@ -81,28 +83,32 @@
 	shape    Shape
 	controls []*control
 	// gone are the control machines that were removed for good.
-	gone      []*control
-	nodes     []*node
-	instances []*instance
-	databases []string
-	platform  *platform
-	events    []stand.Event
-	restarts  []check.Restart
-	sent      []check.Sent
-	seen      []check.Seen
-	told      []check.Told
-	calm      []check.Span
-	out       map[uint64]stand.Event
-	outs      uint64
-	puts      []check.Put
-	closings  []check.Closing
-	faults    []string
-	sequence  uint64
-	rush      float64
-	removed   map[string]bool
-	isSeen    map[string]bool
-	met       map[string]int
-	ambushes  int
+	gone []*control
+	// acknowledged is the newest sequence that an answer kept has told, reads counts
+	// the answers to reads of the newest set.
+	acknowledged uint64
+	reads        int
+	nodes        []*node
+	instances    []*instance
+	databases    []string
+	platform     *platform
+	events       []stand.Event
+	restarts     []check.Restart
+	sent         []check.Sent
+	seen         []check.Seen
+	told         []check.Told
+	calm         []check.Span
+	out          map[uint64]stand.Event
+	outs         uint64
+	puts         []check.Put
+	closings     []check.Closing
+	faults       []string
+	sequence     uint64
+	rush         float64
+	removed      map[string]bool
+	isSeen       map[string]bool
+	met          map[string]int
+	ambushes     int
 
 	isMirrored bool
 	moves      int
@@ -287,6 +293,9 @@
 		f.world.send(&disk.machine, operator, func() {
 			f.world.note("operator: %s on %d kept %v conflict %v sequence %d", id, expected, done.IsKept, isConflict, sequence)
 			f.sequence = max(f.sequence, sequence)
+			if done.IsKept {
+				f.acknowledged = max(f.acknowledged, sequence)
+			}
 			told := check.Told{ID: id, At: int64(f.world.now), Sequence: sequence, IsRefused: isConflict}
 			if isConflict || (done.IsKept && (due != 0 || sequence > 0)) {
 				f.told = append(f.told, told)
@@ -340,6 +349,7 @@
 		f.trouble(w.now + shape.Span)
 	}
 	f.operateAlong(w.now + shape.Span + 2*time.Second)
+	f.readAlong(w.now + shape.Span + 2*time.Second)
 	f.watchPrimacy(w.now + shape.Span + shape.Tail)
 	w.runUntil(w.now + shape.Span)
 	if shape.Script == nil {
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -249,6 +249,62 @@
 	})
 }
 
+func TestControlCutOffForLong(t *testing.T) {
+	onlyWithoutRace(t)
+	ways := map[string]func(lone, other string) [][2]string{
+		"both ways":     func(lone, other string) [][2]string { return [][2]string{{lone, other}, {other, lone}} },
+		"it hears none": func(lone, other string) [][2]string { return [][2]string{{lone, other}} },
+		"none hears it": func(lone, other string) [][2]string { return [][2]string{{other, lone}} },
+		"from one alone": func(lone, other string) [][2]string {
+			return map[bool][][2]string{true: {{lone, other}, {other, lone}}}[other < "c3"]
+		},
+	}
+	shapeOf := func(way func(lone, other string) [][2]string, result *struct{ reads, others int }) Shape {
+		shape := Magnolia()
+		shape.Span, shape.Tail = 24*time.Second, 15*time.Second
+		shape.Script = func(f *fleet) {
+			f.ambushes = 0
+			lone := primaryNow(f)
+			for _, other := range f.controls {
+				for _, cut := range way(lone.name, other.name) {
+					if other != lone {
+						f.cut(cut, 20*time.Second)
+					}
+				}
+			}
+			f.world.after(4*time.Second, func() {
+				if next := primaryNow(f); next != nil && next != lone {
+					result.others++
+				}
+			})
+			f.world.after(23*time.Second, func() { result.reads = f.reads })
+		}
+		return shape
+	}
+	Convey("A control primary is cut off from the others for 20 s, while it still meets nodes and operators: nobody reads older than was acknowledged, at most one holds primacy, and orders go on elsewhere", t, func() {
+		for name, way := range ways {
+			for seed := range uint64(4) {
+				var seen struct{ reads, others int }
+				result := Run(40+seed, shapeOf(way, &seen), Plant{}, nil)
+				SoMsg(name, result.Faults, ShouldBeEmpty)
+				So(seen.reads, ShouldBeGreaterThan, 50)
+				if name == "both ways" {
+					So(seen.others, ShouldEqual, 1)
+				}
+			}
+		}
+	})
+	Convey("A control machine that answers reads without primacy is found by it", t, func() {
+		broken := 0
+		for seed := range uint64(4) {
+			var seen struct{ reads, others int }
+			result := Run(40+seed, shapeOf(ways["both ways"], &seen), Plant{IsReadAnywhere: true}, nil)
+			broken += len(result.Faults["simulation"])
+		}
+		So(broken, ShouldBeGreaterThan, 0)
+	})
+}
+
 func TestNothingIsPromotedWithoutProof(t *testing.T) {
 	Convey("With the primary gone and the only candidate unheard, nothing is promoted until it is heard again", t, func() {
 		shape := Magnolia()
