Bring an earlier tenure's moment forward only once its leases have lapsed

The control primary started again, with a clock 540 ms back that it could not trust, and brought the moment that it had set before forward to now. One node had not heard that, held a lease of the run before, and served under the set before until the moment that it knew.

Change: such a moment is brought forward only where a node shows the set already, or once a whole lease has passed since the desk began; no lease is given until then, as before. Costs up to 1.6 s of holding where a primary starts with a clock that it cannot trust beside a moment that lies ahead.

Ruled out: the change of voters (the same record was in force before and after).

TestLeases held that the moment is brought forward at once; what it is about, that it is before any lease goes out, is held as strictly, at both moments.

--- a/pooler/coordination/steer/steer.go
+++ b/pooler/coordination/steer/steer.go
@@ -652,7 +652,7 @@
 		m.isLand = true
 		return Write{Build: func(held *table.Table) []table.Put { return takeBooking(held, wall) }, Done: done}, true
 	}
-	if moved := m.catchUp(wall); len(moved) > 0 {
+	if moved := m.catchUp(wall); len(moved) > 0 && m.mayMove(moved, now) {
 		m.isLand = true
 		return Write{Build: func(held *table.Table) []table.Put {
 			var puts []table.Put
@@ -694,6 +694,14 @@
 	return moved
 }
 
+// mayMove says whether moments may be brought forward: where a node shows each set
+// already, or once no lease of an earlier tenure is left, by which a node that has not
+// heard of it would serve under the set before until the moment that it was told.
+func (m *Machine) mayMove(moved []view.Set, now time.Duration) bool {
+	isShown := !slices.ContainsFunc(moved, func(set view.Set) bool { return set.Sequence > m.shown })
+	return isShown || now >= m.desk.Began()+m.timing.Full
+}
+
 // isHonest says whether a moment set by an earlier tenure may lie ahead by the
 // clock: one is set that far ahead, and all who hold a lease past it know it.
 func (m *Machine) isHonest(set view.Set, wall int64) bool {
--- a/pooler/coordination/steer/steer_test.go
+++ b/pooler/coordination/steer/steer_test.go
@@ -147,6 +147,11 @@
 		next.wall = d.Doc().Newest().Moment - int64(3*time.Second)
 		So(next.room(next.wall), ShouldEqual, 0)
 		next.settle()
+		So(next.Doc().Effective(next.wall).Sequence, ShouldEqual, 0)
+		So(next.room(next.wall), ShouldEqual, 0)
+		next.now += lease.DefaultTiming().Full
+		So(next.room(next.wall), ShouldEqual, 0)
+		next.settle()
 		So(next.Doc().Effective(next.wall).Sequence, ShouldEqual, 1)
 		So(next.room(next.wall), ShouldBeGreaterThan, 0)
 	})
@@ -348,6 +353,12 @@
 			next.wall = moment - int64(3*time.Second)
 			So(len(next.catchUp(next.wall)), ShouldEqual, 1)
 			So(next.room(next.wall), ShouldEqual, 0)
+			next.settle()
+			So(next.Doc().Newest().Moment, ShouldEqual, moment)
+			So(next.room(next.wall), ShouldEqual, 0)
+			next.now += lease.DefaultTiming().Full
+			next.settle()
+			So(next.Doc().Newest().Moment, ShouldEqual, 1)
 		}
 	})
 }
