Replace control machines of real processes, kill the primary, and stop one as planned

A run of the platform's manner, in the test command: a control machine is killed for good and another started, then the primary likewise 4 s later, then one is stopped as planned; a change is taken after each and clients are served at the end.

--- a/proof/trial/scenarios.go
+++ b/proof/trial/scenarios.go
@@ -40,6 +40,7 @@
 		{Name: "replace", About: "a primary is to be replaced: it drains, leaves and ends", IsCalm: true, Act: actReplace},
 		{Name: "stop", About: "a node stopped by SIGTERM, and started again", IsCalm: true, Act: actStop},
 		{Name: "control-kill", About: "the control primary killed, back later", Act: actControlKill},
+		{Name: "control-replace", About: "control machines gone for good and replaced, one after the other, then one stopped as planned", Act: actControlReplace},
 		{Name: "change", About: "configurations changed, racing, old and broken", IsCalm: true, Act: actChange},
 		{Name: "lose", About: "answers lost after running, and statements refused as busy", Act: func(t *Trial) {
 			for range 4 {
@@ -128,6 +129,43 @@
 	t.Change(t.Routes(), 1)
 }
 
+// repairSpan is how long a control machine that was started has until the next one
+// may be lost.
+const repairSpan = 4 * time.Second
+
+func actControlReplace(t *Trial) {
+	primary := t.Control()
+	if primary == nil {
+		t.Miss("no control primary")
+		return
+	}
+	witness := t.Disks[0]
+	if witness == primary {
+		witness = t.Disks[1]
+	}
+	for _, lost := range []*fleet.Process{witness, primary} {
+		lost.Kill()
+		began := t.crew.Now()
+		t.Change(t.Routes(), 0)
+		t.Note("a change is taken %d ms after the kill of %s", (t.crew.Now() - began).Milliseconds(), lost.Name)
+		t.AddControl()
+		t.Hold(repairSpan)
+	}
+	leaving := t.Control()
+	if leaving == nil {
+		t.Miss("no control primary after two were replaced")
+		return
+	}
+	began := t.crew.Now()
+	leaving.Signal(syscall.SIGTERM)
+	if !leaving.Ended(10 * time.Second) {
+		t.Miss("%s did not end within 10 s", leaving.Name)
+	}
+	t.Note("%s ended %d ms after it was told to", leaving.Name, (t.crew.Now() - began).Milliseconds())
+	t.Change(t.Routes(), 1)
+	t.Await("without three of five", 10*time.Second)
+}
+
 func actChange(t *Trial) {
 	routes := t.Routes()
 	t.Change(append(t.Routes(), lines.Route{Host: "extra", Kind: "primary", Service: "db2", Timeout: time.Second, Target: time.Second}), 0)
--- a/proof/trial/trial.go
+++ b/proof/trial/trial.go
@@ -23,6 +23,7 @@
 // Trial is one run under way.
 type Trial struct {
 	Fronts, Disks []*fleet.Process
+	spares        []*fleet.Process
 	Services      []*lines.Service
 	Platform      *lines.Platform
 	Operator      *lines.Operator
@@ -86,7 +87,9 @@
 
 const (
 	fronts, disks, replicas = 3, 3, 2
-	sessions                = 24
+	// spares are control machines that a run may start beside those at first.
+	spares   = 2
+	sessions = 24
 )
 
 // Start starts stand-ins and programs, takes the first configuration and
@@ -118,7 +121,7 @@
 
 func (t *Trial) plan(root, bin string, services int) error {
 	var hosts []string
-	for group, count := range []int{1, fronts, disks, services * (replicas + 1)} {
+	for group, count := range []int{1, fronts, disks + spares, services * (replicas + 1)} {
 		for at := range count {
 			hosts = append(hosts, t.ip(group, at))
 		}
@@ -128,7 +131,7 @@
 		return err
 	}
 	link, door, wire, away := ports[0], ports[1], ports[2], ports[3]
-	for at := range disks {
+	for at := range disks + spares {
 		t.doors = append(t.doors, fmt.Sprint(t.ip(2, at), ":", door))
 	}
 	for at := range services {
@@ -151,14 +154,14 @@
 	}
 	t.Operator = lines.NewOperator(t.crew, t.History, t.doors, t.Services...)
 	seeds := []any{}
-	for _, one := range t.doors {
+	for _, one := range t.doors[:disks] {
 		seeds = append(seeds, one)
 	}
 	for _, part := range []struct {
 		program      string
 		group, count int
 		list         *[]*fleet.Process
-	}{{"seamc", 2, disks, &t.Disks}, {"seamd", 1, fronts, &t.Fronts}} {
+	}{{"seamc", 2, disks + spares, &t.Disks}, {"seamd", 1, fronts, &t.Fronts}} {
 		template, err := os.ReadFile(filepath.Join(root, "deploy", part.program+".json.tmpl"))
 		if err != nil {
 			return err
@@ -170,7 +173,7 @@
 				Link: fmt.Sprint(ip, ":", link), Door: fmt.Sprint(ip, ":", door), File: filepath.Join(t.folder, name+".json"),
 			}
 			text, err := Fill(string(template), map[string]any{
-				"node_name": name, "zone": one.Zone, "ip": ip, "internal_ports": []any{link, link + 1}, "data_path": one.Data, "bootstrap": true,
+				"node_name": name, "zone": one.Zone, "ip": ip, "internal_ports": []any{link, link + 1}, "data_path": one.Data, "bootstrap": at < disks,
 				"listen":  map[string]any{"admin": one.Door, "readiness": one.Door, "sessions": fmt.Sprint(ip, ":", wire)},
 				"survive": map[string]any{"machines": 1}, "bounds": map[string]any{"fence_checked": true}, "cloud_api": map[string]any{"address": platformAt}, "seed_nodes": seeds,
 			})
@@ -187,9 +190,22 @@
 			}
 		}
 	}
+	t.Disks, t.spares = slices.Clip(t.Disks[:disks]), t.Disks[disks:]
 	return nil
 }
 
+// AddControl starts a control machine with a blank disk, which knows the seeds that
+// all were given at first.
+func (t *Trial) AddControl() *fleet.Process {
+	one := t.spares[0]
+	t.spares = t.spares[1:]
+	if err := one.Start(t.folder); err != nil {
+		t.Miss("%v", err)
+	}
+	t.Disks = append(t.Disks, one)
+	return one
+}
+
 // Load starts the clients.
 func (t *Trial) Load(seed uint64) {
 	mixes := map[string]lines.Mix{
--- a/test.sh
+++ b/test.sh
@@ -26,4 +26,4 @@
   grep -E '^--- (FAIL|PASS): ' <<<"$found" || true
 fi
 go run ./proof/cmd/prove -race -shape small -run calls,change,restart,primary-crash,primary-dark,control-kill,lose,settings,planted-kill,planted-unclean
-go run ./proof/cmd/prove -race -manner platform -run primary-crash,replace,stop,control-kill,change,lose
+go run ./proof/cmd/prove -race -manner platform -run primary-crash,replace,stop,control-kill,control-replace,change,lose
