--- /dev/null
+++ b/pooler/coordination/epoch/catchup_test.go
@@ -0,0 +1,73 @@
+package epoch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"tansyseam.example/pooler/state/table"
+)
+
+// change writes one of so many keys at the primary.
+func (c *cluster) change(number, keys int) {
+	c.step(c.primary(), Submit{Token: uint64(1000 + number), Build: func(*table.Table) []table.Put {
+		return []table.Put{{Key: fmt.Sprint("key", number%keys), Data: []byte(fmt.Sprintf("%06d", number))}}
+	}})
+}
+
+func TestCatchUpAfterManyChanges(t *testing.T) {
+	const keys = 200
+	// away has a machine miss so many changes, and gives what is sent to it, in bytes,
+	// until it is whole again, and how long that takes.
+	away := func(changes int, isBlank bool) (size int, span time.Duration) {
+		c, founding := foundedOf(3, "c1", "c2", "c3")
+		for number := range keys {
+			c.change(number, keys)
+		}
+		lost := c.machines[c.primary()].Record().Backup
+		c.up[lost] = false
+		c.run(4 * time.Second)
+		for number := range changes {
+			c.change(number, keys)
+		}
+		So(c.answers[uint64(1000+changes-1)].IsKept, ShouldBeTrue)
+		c.up[lost] = true
+		if isBlank {
+			c.add(founding, lost)
+		}
+		c.sent = func(_, to string, body any) {
+			if fill, isFill := body.(Fill); isFill && to == lost {
+				size += len(table.Encode(fill))
+			}
+		}
+		from := c.now
+		c.run(time.Second)
+		So(c.machines[lost].IsPrimary(c.now), ShouldBeFalse)
+		c.up[c.machines[c.primary()].Record().Backup] = false
+		for c.now < from+20*time.Second && c.machines[c.primary()].Record().Backup != lost {
+			c.change(changes+keys, keys)
+			c.run(20 * time.Millisecond)
+		}
+		So(c.machines[lost].Copy().Records, ShouldResemble, c.machines[c.primary()].Copy().Records)
+		return size, c.now - from
+	}
+	Convey("What is sent to a machine that missed changes is bounded by the state, not by their number, whether it has its disk or not, and it holds no role before it is whole", t, func() {
+		for _, isBlank := range []bool{false, true} {
+			few, _ := away(keys, isBlank)
+			for _, changes := range []int{1000, 4000} {
+				size, span := away(changes, isBlank)
+				So(size, ShouldBeGreaterThan, 0)
+				So(size, ShouldBeLessThan, 2*few)
+				So(span, ShouldBeLessThan, catchUp+time.Second)
+			}
+		}
+	})
+	Convey("A machine that missed one change of two hundred keys is sent one range of sixteen", t, func() {
+		all, _ := away(keys, false)
+		one, _ := away(1, false)
+		So(one, ShouldBeGreaterThan, 0)
+		So(one, ShouldBeLessThan, all/4)
+	})
+}
--- a/pooler/coordination/epoch/founding_test.go
+++ b/pooler/coordination/epoch/founding_test.go
@@ -17,6 +17,7 @@
 	up       map[string]bool
 	answers  map[uint64]Answer
 	turns    int
+	sent     func(from, to string, body any)
 }
 
 func address(name string) string { return name + ":1" }
@@ -40,6 +41,9 @@
 			So(turned.Table, ShouldNotBeNil)
 		}
 		if send, isOne := effect.(Send); isOne && c.up[send.To] && c.up[name] {
+			if c.sent != nil {
+				c.sent(name, send.To, send.Body)
+			}
 			c.step(send.To, Heard{From: name, Body: send.Body})
 		}
 	}
