Review: links between control machines stay dead after resets

A connection that is reset while it opens can leave a closed link in the hub, which is never dialed again. After cuts with resets and the replacement of one machine, the control side has no majority for good. Rule: CONFIG.

--- a/review/standins/case_reset.go
+++ b/review/standins/case_reset.go
@@ -13,19 +13,20 @@
 const (
 	resetSessions = 24
 	cutFor        = 20 * time.Second
-	// healFor is the time between the end of the cut and the loss of a machine.
+	catchUp       = 4 * time.Second
+	// healFor is the time between the end of the last cut and the loss of a machine.
 	healFor = 10 * time.Second
 	// replaceAfter is the time from the loss of a machine until an empty one comes.
 	replaceAfter = time.Second
-	// readBackAfter and readBackFor are the time after the replacement at which the
-	// operator begins to read the configuration back, and how long it goes on.
+	// readBackAfter is the time after the replacement at which the operator begins to read
+	// the configuration back. It goes on for readBackFor at least.
 	readBackAfter = 8 * time.Second
-	readBackFor   = 30 * time.Second
+	readBackFor   = 12 * time.Second
 )
 
-// runReset cuts off one control machine from the other control machines: connections
-// between them are reset. Some time after the cut has healed, a machine is lost for good
-// and an empty one comes in its place. Then the operator reads the configuration back.
+// runReset cuts off each control machine in turn from the other control machines:
+// connections between them are reset. Some time after the last cut has healed, a machine is
+// lost for good and an empty one comes in its place. Then the operator reads the configuration back.
 // The case checks CONFIG: it must come.
 func runReset(s *scene) (bool, error) {
 	deployment := Deployment{
@@ -43,15 +44,20 @@
 	clients.Start(resetSessions, 10*time.Millisecond)
 	defer clients.Stop()
 	defer s.askAll(w.fleet.ControlAddresses())()
-	time.Sleep(2 * time.Second)
-	if s.trouble {
-		s.record.Say("%s is cut off from the other control machines", w.fleet.Controls[0].Name)
-		w.fleet.cutOff(0, true)
-	}
-	time.Sleep(cutFor)
-	if s.trouble {
-		w.fleet.cutOff(0, false)
-		s.record.Say("%s is joined again; connections reset so far: %s", w.fleet.Controls[0].Name, w.fleet.resets())
+	time.Sleep(time.Second)
+	for number := range controlCount {
+		if number > 0 {
+			time.Sleep(catchUp)
+		}
+		if s.trouble {
+			s.record.Say("%s is cut off from the other control machines", w.fleet.Controls[number].Name)
+			w.fleet.cutOff(number, true)
+		}
+		time.Sleep(cutFor)
+		if s.trouble {
+			w.fleet.cutOff(number, false)
+			s.record.Say("%s is joined again; connections reset so far: %s", w.fleet.Controls[number].Name, w.fleet.resets())
+		}
 	}
 	time.Sleep(healFor)
 	s.record.Say("connections between the control machines now: %s", w.fleet.links())
@@ -82,18 +88,9 @@
 }
 
 // replaceControl takes away a control machine for good and starts an empty one at another
-// address. It takes the machine that is neither end of a connection that did not come back
-// after the cut, or the last one if all came back. It returns the addresses of the control
-// machines that there are then.
+// address. It returns the addresses of the control machines that there are then.
 func (s *scene) replaceControl(fleet *Fleet, deployment Deployment) ([]string, error) {
-	lost := controlCount - 1
-	for to, relay := range fleet.Relays {
-		for from, control := range fleet.Controls {
-			if from != to && relay.OpenFrom(control.IP) == 0 {
-				lost = controlCount - from - to
-			}
-		}
-	}
+	lost := fleet.machineToLose()
 	s.record.Say("%s is lost for good", fleet.Controls[lost].Name)
 	fleet.Controls[lost].Signal(syscall.SIGKILL)
 	var remaining []string
@@ -111,6 +108,26 @@
 	return append(remaining, added.admin), nil
 }
 
+// machineToLose returns the number of the machine that is lost: one that is at neither end
+// of a connection that did not come back after the cuts, or the last one if all came back.
+// A pair of machines that is connected one way only comes first.
+func (f *Fleet) machineToLose() int {
+	lost, foundOneWay := controlCount-1, false
+	for to := range controlCount {
+		for from := range controlCount {
+			there := f.Relays[to].OpenFrom(f.Controls[from].IP) > 0
+			if from == to || there {
+				continue
+			}
+			oneWay := f.Relays[from].OpenFrom(f.Controls[to].IP) > 0
+			if oneWay || !foundOneWay {
+				lost, foundOneWay = controlCount-from-to, oneWay
+			}
+		}
+	}
+	return lost
+}
+
 // askAll has the operator read the configuration at each control process, as it does
 // during the day: each gets a second to answer, and is asked again a second later.
 func (s *scene) askAll(controls []string) (stop func()) {
