--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 # the build line of deploy/system.toml, and the stand-ins with review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standins ] || { echo "run review/build.sh first"; exit 2; }
-exec ../bin/standins -case leave -root ../.. -record record.txt
+exec ../bin/standins -case stop -root ../.. -record record.txt
