--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -7,7 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 )
 
 // Exit codes.
@@ -25,6 +28,8 @@
 	trouble   bool
 	// replace is true if the case "reset" replaces a control machine.
 	replace bool
+	// fleet is set once its processes may run, so that a signal ends them too.
+	fleet atomic.Pointer[Fleet]
 }
 
 var cases = map[string]func(*scene) (broken bool, err error){
@@ -61,6 +66,16 @@
 	s := &scene{record: NewRecord(), root: absolute, directory: directory}
 	s.trouble = os.Getenv("TROUBLE") != "0" && os.Getenv("TROUBLE") != "replace"
 	s.replace = os.Getenv("TROUBLE") != "0"
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		if fleet := s.fleet.Load(); fleet != nil {
+			fleet.Stop()
+		}
+		_ = os.RemoveAll(directory)
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(s)
 	if err != nil {
 		s.record.Say("the case could not run: %v", err)
--- a/review/standins/setup.go
+++ b/review/standins/setup.go
@@ -28,6 +28,7 @@
 	}
 	w := &world{fleet: fleet, service: NewService(s.record, serviceName)}
 	configure(w.service)
+	s.fleet.Store(fleet)
 	if err := fleet.Start(); err != nil {
 		return w, err
 	}
