Count what a stopping line proxy leaves unanswered, by phase

The log could not tell three hypotheses apart: sessions are never closed while they are busy, the end of the drain drops queued statements, or answers are written and lost when the connection closes.

Change: the drain counts the sessions that it closes, idle or busy, and their statements by phase (drain_queued, drain_in_flight and so on). The line server counts the bytes that were written but not sent when a connection closed, and the log line "sessions closed" has them as unsent_bytes.

--- a/internal/app/lineproxy/drain.go
+++ b/internal/app/lineproxy/drain.go
@@ -25,7 +25,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	p.log.Info("sessions closed", "sessions_left", p.sessionCount())
+	p.log.Info("sessions closed", "sessions_left", p.sessionCount(), "unsent_bytes", p.server.UnsentAtClose())
 	p.server.Stop()
 }
 
--- a/internal/coordination/pool/linepool/drain.go
+++ b/internal/coordination/pool/linepool/drain.go
@@ -63,7 +63,33 @@
 		idle := client.request == nil && client.state == lineproto.StateIdle && len(client.pipelined) == 0
 		idleInTransaction := client.request == nil && elapsed > m.timing.EndTransactions
 		if idle || idleInTransaction || elapsed > m.timing.EndSessions {
+			m.countDrained(client)
 			m.closeClient(client, now)
 		}
 	}
 }
+
+// drainCounters holds, by phase, the name of the counter of the statements that
+// a drain ended in that phase.
+var drainCounters = map[phase]string{
+	phaseAwaitingLease: "drain_awaiting_lease",
+	phaseQueued:        "drain_queued",
+	phaseInFlight:      "drain_in_flight",
+	phaseUnconfirmed:   "drain_unconfirmed",
+}
+
+// countDrained counts a session that the drain is about to close, and what it
+// still waits for.
+func (m *Machine) countDrained(client *Client) {
+	isConnecting := client.binding != "" && !client.connected
+	if isConnecting {
+		m.Count("drain_connecting", 1)
+	}
+	if client.request == nil {
+		m.Count("drain_sessions_idle", 1)
+		return
+	}
+	m.Count("drain_sessions_busy", 1)
+	m.Count(drainCounters[client.request.phase], 1)
+	m.Count("drain_pipelined", int64(len(client.pipelined)))
+}
--- a/internal/transport/lineserver/conn.go
+++ b/internal/transport/lineserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -28,13 +29,19 @@
 	// partial is the start of a line that has not arrived completely.
 	partial       []byte
 	maxLineLength int
+	// unsent is the number of bytes that were written and that the socket has not
+	// accepted yet.
+	unsent atomic.Int64
 	// closed is guarded by the server's mutex.
 	closed bool
 }
 
 // Write sends bytes without blocking. Bytes that the socket does not accept at once
 // are queued. The connection is closed if its queue grows too large.
-func (c *Conn) Write(data []byte) { _, _ = c.raw.Write(data) }
+func (c *Conn) Write(data []byte) {
+	c.unsent.Add(int64(len(data)))
+	_, _ = c.raw.Write(data)
+}
 
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.raw.Close() }
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -29,6 +30,9 @@
 	// mutex guards the session that nbio stores with each raw connection, and the field
 	// closed of each Conn.
 	mutex sync.Mutex
+	// unsentAtClose is the number of bytes that were written to connections which
+	// were closed before the bytes were sent.
+	unsentAtClose atomic.Int64
 }
 
 // closedBeforeAttach is the session of a raw connection that was closed before its
@@ -47,6 +51,11 @@
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnData(s.onData)
 	s.engine.OnClose(s.detach)
+	s.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, size int) {
+		if conn := s.connOf(raw); conn != nil {
+			conn.unsent.Add(-int64(size))
+		}
+	})
 	return s
 }
 
@@ -59,6 +68,10 @@
 	return nil
 }
 
+// UnsentAtClose returns the number of bytes that were written to connections which
+// were closed before the bytes were sent.
+func (s *Server) UnsentAtClose() int64 { return s.unsentAtClose.Load() }
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop() { s.engine.Stop() }
 
@@ -98,9 +111,11 @@
 	s.mutex.Lock()
 	conn, attached := raw.Session().(*Conn)
 	notified := attached && conn.closed
-	if attached {
+	if attached && !notified {
 		conn.closed = true
-	} else {
+		s.unsentAtClose.Add(conn.unsent.Load())
+	}
+	if !attached {
 		raw.SetSession(closedBeforeAttach{err})
 	}
 	s.mutex.Unlock()
