Let a stopping line proxy reject new work in the second half of its grace

A client that sends its next statement as soon as it has its answer is never idle at a tick, so that the queue stays as long as before the SIGTERM.

Ruled out: closing the session with its answer. The next statement of such a client would cross with the close, and a write that is cut off has no known outcome.

Change: the drain has stages. After the linger time, sessions that have been idle for 50 ms are closed.

Conclusion: a session is told to go within half of the grace period.

--- a/internal/app/lineproxy/connections.go
+++ b/internal/app/lineproxy/connections.go
@@ -43,6 +43,7 @@
 		for _, message := range messages {
 			c.handle(message, now)
 		}
+		c.proxy.pool.EndInput(c.client, now)
 	})
 }
 
--- a/internal/coordination/pool/linepool/client.go
+++ b/internal/coordination/pool/linepool/client.go
@@ -33,6 +33,8 @@
 	lastUsed  time.Duration
 	connected bool
 	closed    bool
+	// rejected is true if the node has rejected a statement because it stops.
+	rejected bool
 }
 
 type preparedStatement struct {
@@ -133,6 +135,10 @@
 		if client.closed {
 			continue
 		}
+		if m.rejectsNewWork(now) {
+			m.closeWithError(client, errStopping, now)
+			continue
+		}
 		if leased && set.Sequence != 0 {
 			m.answerConnect(client, set, now)
 			continue
--- a/internal/coordination/pool/linepool/drain.go
+++ b/internal/coordination/pool/linepool/drain.go
@@ -11,7 +11,8 @@
 const idleCheckInterval = 200 * time.Millisecond
 
 // Drain makes the node unready. The node continues to serve for Timing.Linger
-// and then closes sessions as they become idle.
+// and then closes sessions as they become idle. From Timing.EndTransactions on it
+// rejects new work, and at Timing.EndSessions it ends what is left.
 func (m *Machine) Drain(now time.Duration) {
 	if !m.Draining() {
 		m.StartDraining()
@@ -54,30 +55,94 @@
 	return m.timing.IdleInTransaction
 }
 
-func (m *Machine) closeDrainedClients(now time.Duration) {
+// drainStage is the progress of a drain.
+type drainStage int
+
+const (
+	// drainNone means that the node does not drain, or still lingers.
+	drainNone drainStage = iota
+	// drainClosingIdle means that sessions are closed when they are idle.
+	drainClosingIdle
+	// drainRejecting means that no new work is begun: connect requests and
+	// statements outside transactions are rejected. What was read before is
+	// served.
+	drainRejecting
+	// drainEnded means that all sessions are closed.
+	drainEnded
+)
+
+func (m *Machine) drainStage(now time.Duration) drainStage {
 	elapsed := now - m.drainStarted
-	if elapsed < m.timing.Linger {
-		return
+	if !m.Draining() || elapsed < m.timing.Linger {
+		return drainNone
+	}
+	if elapsed <= m.timing.EndTransactions {
+		return drainClosingIdle
+	}
+	if elapsed <= m.timing.EndSessions {
+		return drainRejecting
 	}
+	return drainEnded
+}
+
+// rejectsNewWork reports whether the node begins no new work because it stops.
+func (m *Machine) rejectsNewWork(now time.Duration) bool { return m.drainStage(now) >= drainRejecting }
+
+// drainSteps holds, by stage, what each tick does to a session.
+var drainSteps = map[drainStage]func(*Machine, *Client, time.Duration){
+	drainNone:        func(*Machine, *Client, time.Duration) {},
+	drainClosingIdle: (*Machine).closeIfIdle,
+	drainRejecting:   (*Machine).closeIfInactive,
+	drainEnded:       (*Machine).endSession,
+}
+
+func (m *Machine) closeDrainedClients(now time.Duration) {
+	step := drainSteps[m.drainStage(now)]
 	for _, client := range m.clientsBySerial() {
-		idle := client.request == nil && client.state == lineproto.StateIdle && len(client.pipelined) == 0
-		idleInTransaction := client.request == nil && elapsed > m.timing.EndTransactions
-		if idle || idleInTransaction || m.isDrainEnded(now) {
-			m.countDrained(client)
-			m.endSession(client, now)
-		}
+		step(m, client, now)
+	}
+}
+
+// closeIfIdle closes a session that waits for nothing, is in no transaction, and
+// has been idle for Timing.DrainIdle.
+func (m *Machine) closeIfIdle(client *Client, now time.Duration) {
+	waitsForNothing := client.request == nil && client.state == lineproto.StateIdle
+	if waitsForNothing && now-client.lastUsed >= m.timing.DrainIdle {
+		m.endSession(client, now)
 	}
 }
 
-// isDrainEnded reports whether the node drains and the time has come at which
-// it closes all sessions.
-func (m *Machine) isDrainEnded(now time.Duration) bool {
-	return m.Draining() && now-m.drainStarted > m.timing.EndSessions
+// closeIfInactive closes a session that is idle, even inside a transaction.
+func (m *Machine) closeIfInactive(client *Client, now time.Duration) {
+	if client.request == nil && client.state != lineproto.StateIdle {
+		m.endSession(client, now)
+		return
+	}
+	m.closeIfIdle(client, now)
+}
+
+// rejectNewWork answers a query that would begin new work on a stopping node.
+// The session is closed after the other queries that arrived with it.
+func (m *Machine) rejectNewWork(client *Client) {
+	client.rejected = true
+	m.Count("drain_rejected", 1)
+	m.respondError(client, errStopping)
+}
+
+// EndInput must be called after the queries that arrived together. It closes the
+// session if the node has rejected one of them because it stops, so that the
+// client continues at another node.
+func (m *Machine) EndInput(client *Client, now time.Duration) {
+	if client.rejected && !client.closed && client.request == nil {
+		m.countDrained(client)
+		m.closeClient(client, now)
+	}
 }
 
 // endSession answers everything that a client waits for, and closes its
 // session.
 func (m *Machine) endSession(client *Client, now time.Duration) {
+	m.countDrained(client)
 	for client.request != nil {
 		drainEnders[client.request.phase](m, client.request, now)
 	}
--- a/internal/coordination/pool/linepool/query.go
+++ b/internal/coordination/pool/linepool/query.go
@@ -39,7 +39,7 @@
 }
 
 // handlePipelined serves the client's pipelined queries, up to the first that
-// has to wait for an instance.
+// has to wait for an instance. If they were rejected, it closes the session.
 func (m *Machine) handlePipelined(client *Client, now time.Duration) {
 	client.lastUsed = now
 	for len(client.pipelined) > 0 && client.request == nil && !client.closed {
@@ -47,6 +47,7 @@
 		client.pipelined = client.pipelined[1:]
 		m.handleQuery(client, query, now)
 	}
+	m.EndInput(client, now)
 }
 
 type queryHandler func(m *Machine, client *Client, query Query, now time.Duration)
@@ -71,8 +72,8 @@
 }
 
 func (m *Machine) handleQuery(client *Client, query Query, now time.Duration) {
-	if client.state == lineproto.StateIdle && m.isDrainEnded(now) {
-		m.respondError(client, errStopping)
+	if client.state == lineproto.StateIdle && m.rejectsNewWork(now) {
+		m.rejectNewWork(client)
 		return
 	}
 	action := query.Statement.Action
--- a/internal/coordination/pool/linepool/timing.go
+++ b/internal/coordination/pool/linepool/timing.go
@@ -55,9 +55,13 @@
 	// Linger is how long a draining node continues to serve normally, so that
 	// load balancers can notice that it is not ready.
 	Linger time.Duration
-	// EndTransactions is the time after the start of the drain at which idle
-	// sessions are closed even inside a transaction. EndSessions is the time at
-	// which all sessions are closed.
+	// DrainIdle is how long a session of a draining node must have been idle
+	// before it is closed, so that the client's next statement is unlikely to
+	// cross with the close.
+	DrainIdle time.Duration
+	// EndTransactions is the time after the start of the drain from which new
+	// work is rejected and idle sessions are closed even inside a transaction.
+	// EndSessions is the time at which all sessions are closed.
 	EndTransactions, EndSessions time.Duration
 	// MaxQueue is the maximum number of statements in one queue.
 	MaxQueue int
@@ -96,6 +100,7 @@
 		LaggingPause:      150 * time.Millisecond,
 		ReplicationBound:  300 * time.Millisecond,
 		Linger:            2300 * time.Millisecond,
+		DrainIdle:         50 * time.Millisecond,
 		EndTransactions:   2900 * time.Millisecond,
 		EndSessions:       5400 * time.Millisecond,
 		MaxQueue:          4096,
