Keep sessions open whose connect request a stopping line proxy has not answered

What callers saw: a client that connects while the proxy has no lease gets the end of the connection instead of an answer, if the proxy is stopping.

Cause: a connect request that waits for a lease leaves its session in the idle state without a request, so that the drain closed it as idle.

Ruled out: an answer that was lost on the way; the machine emits none.

Change: a session whose connect request waits is not idle. Its idle time counts from the answer.

Test seen failing without the change: TestDrainAnswersConnects ("Expected: false, Actual: true" for the closed session).

--- a/internal/coordination/pool/linepool/client.go
+++ b/internal/coordination/pool/linepool/client.go
@@ -113,7 +113,7 @@
 	if client.closed {
 		return
 	}
-	if client.connected || client.binding != "" {
+	if client.connected || client.isConnecting() {
 		m.protocolError(client, errAlreadyConnected, now)
 		return
 	}
@@ -122,6 +122,9 @@
 	m.admitConnecting(now)
 }
 
+// isConnecting reports whether the client's connect request waits for its answer.
+func (c *Client) isConnecting() bool { return c.binding != "" && !c.connected }
+
 // admitConnecting answers the connect requests that can be answered now, and
 // rejects those that have waited for too long.
 func (m *Machine) admitConnecting(now time.Duration) {
@@ -158,7 +161,7 @@
 		m.closeWithError(client, errUnknownBinding(client.binding), now)
 		return
 	}
-	client.connected = true
+	client.connected, client.lastUsed = true, now
 	m.respond(client, lineproto.Message{Kind: lineproto.KindReady, State: client.state})
 }
 
--- a/internal/coordination/pool/linepool/drain.go
+++ b/internal/coordination/pool/linepool/drain.go
@@ -106,7 +106,7 @@
 // closeIfIdle closes a session that waits for nothing, is in no transaction, and
 // has been idle for Timing.DrainIdle.
 func (m *Machine) closeIfIdle(client *Client, now time.Duration) {
-	waitsForNothing := client.request == nil && client.state == lineproto.StateIdle
+	waitsForNothing := client.request == nil && client.state == lineproto.StateIdle && !client.isConnecting()
 	if waitsForNothing && now-client.lastUsed >= m.timing.DrainIdle {
 		m.endSession(client, now)
 	}
@@ -187,10 +187,6 @@
 // countDrained counts a session that the drain is about to close, and what it
 // still waits for.
 func (m *Machine) countDrained(client *Client) {
-	isConnecting := client.binding != "" && !client.connected
-	if isConnecting {
-		m.Count("drain_connecting", 1)
-	}
 	if client.request == nil {
 		m.Count("drain_sessions_idle", 1)
 		return
--- a/internal/coordination/pool/linepool/drain_test.go
+++ b/internal/coordination/pool/linepool/drain_test.go
@@ -333,3 +333,30 @@
 		So(h.IsDrained(), ShouldBeTrue)
 	})
 }
+
+func TestDrainAnswersConnects(t *testing.T) {
+	// Guards against a connect request that waits for a lease and whose session a
+	// stopping proxy closes as idle, without an answer.
+	Convey("Given a draining node that loses its lease, and a connect request that waits for a lease", t, func() {
+		h := newPatientHarness()
+		h.Drain(h.now)
+		h.advanceInTicks(600 * time.Millisecond)
+		h.advanceWithoutLease(leaseDuration + 25*time.Millisecond)
+		client := h.client("strict")
+		h.advanceWithoutLease(200 * time.Millisecond)
+		So(h.responses[client], ShouldBeEmpty)
+		So(h.closedClients[client], ShouldBeFalse)
+		Convey("It is rejected once it has waited for too long", func() {
+			h.advanceWithoutLease(600 * time.Millisecond)
+			So(h.responses[client], ShouldResemble, []string{"ERROR BUSY"})
+			So(h.closedClients[client], ShouldBeTrue)
+		})
+		Convey("It is accepted if the lease returns, and its session is closed once it is idle", func() {
+			h.advanceInTicks(25 * time.Millisecond)
+			So(h.responses[client], ShouldResemble, []string{"READY I"})
+			So(h.closedClients[client], ShouldBeFalse)
+			h.advanceInTicks(75 * time.Millisecond)
+			So(h.closedClients[client], ShouldBeTrue)
+		})
+	})
+}
