Leave open transactions the first half of grace_s, and tell their clients

What callers saw: a session that rests in a transaction is closed 2.9 s after SIGTERM of its proxy, without a word, though RULES.md gives an open transaction "the first half of grace_s in which to end", 3 s. A COMMIT sent in between is cut off.

Cause: endTransactionsMargin took 100 ms off, and closeClient sends nothing.

Change: EndTransactions is half of the grace period, and the session gets ERROR ABORTED before it is closed. PROTOCOL.md allows an ERROR while nothing is asked, and if a statement is under way it is its answer: nothing of the transaction is kept, since the node rolls it back in the same step.

Conclusion: the bound of the rule is the bound of the code.

--- a/internal/coordination/pool/linepool/drain.go
+++ b/internal/coordination/pool/linepool/drain.go
@@ -76,10 +76,10 @@
 	if !m.Draining() || elapsed < m.timing.Linger {
 		return drainNone
 	}
-	if elapsed <= m.timing.EndTransactions {
+	if elapsed < m.timing.EndTransactions {
 		return drainClosingIdle
 	}
-	if elapsed <= m.timing.EndSessions {
+	if elapsed < m.timing.EndSessions {
 		return drainRejecting
 	}
 	return drainEnded
@@ -112,10 +112,12 @@
 	}
 }
 
-// closeIfInactive closes a session that is idle, even inside a transaction.
+// closeIfInactive closes a session that is idle, even inside a transaction. The
+// transaction is rolled back, and the client is told so.
 func (m *Machine) closeIfInactive(client *Client, now time.Duration) {
 	if client.request == nil && client.state != lineproto.StateIdle {
-		m.endSession(client, now)
+		m.countDrained(client)
+		m.closeWithError(client, stoppingErrors.aborted, now)
 		return
 	}
 	m.closeIfIdle(client, now)
--- a/internal/coordination/pool/linepool/drain_test.go
+++ b/internal/coordination/pool/linepool/drain_test.go
@@ -360,3 +360,38 @@
 		})
 	})
 }
+
+func TestDrainLeavesTransactionsHalfOfGrace(t *testing.T) {
+	// Guards against a stopping proxy that closes a session which rests in a
+	// transaction before half of the grace period is over, or without an answer.
+	Convey("Given a session that rests in a transaction on a draining node", t, func() {
+		h := newPatientHarness()
+		client := h.inTransaction()
+		h.Drain(h.now)
+		h.advanceInTicks(2975 * time.Millisecond)
+		So(h.closedClients[client], ShouldBeFalse)
+		Convey("It may commit until half of the grace period is over", func() {
+			h.query(client, commit())
+			h.answerSend(h.nextSend(), lineproto.StateIdle, done("k"))
+			So(h.lastResponse(client), ShouldEqual, "DONE k / READY I")
+		})
+		Convey("It is then rolled back, the client is told so, and the session is closed", func() {
+			h.advanceInTicks(25 * time.Millisecond)
+			So(h.lastResponse(client), ShouldEqual, "ERROR ABORTED")
+			So(h.closedClients[client], ShouldBeTrue)
+			So(formatCommands(h.nextSend()), ShouldEqual, "rollback")
+		})
+	})
+	Convey("A session that waits for the end of a failed transaction is closed with an answer as well", t, func() {
+		h := newPatientHarness()
+		client := h.inTransaction()
+		h.query(client, write("2"))
+		h.answerSend(h.nextSend(), lineproto.StateFailed, failure(lineproto.CodeFailed))
+		h.Drain(h.now)
+		h.advanceInTicks(2975 * time.Millisecond)
+		So(h.closedClients[client], ShouldBeFalse)
+		h.advanceInTicks(25 * time.Millisecond)
+		So(h.lastResponse(client), ShouldEqual, "ERROR ABORTED")
+		So(h.closedClients[client], ShouldBeTrue)
+	})
+}
--- a/internal/coordination/pool/linepool/timing.go
+++ b/internal/coordination/pool/linepool/timing.go
@@ -101,7 +101,7 @@
 		ReplicationBound:  300 * time.Millisecond,
 		Linger:            2300 * time.Millisecond,
 		DrainIdle:         50 * time.Millisecond,
-		EndTransactions:   2900 * time.Millisecond,
+		EndTransactions:   3 * time.Second,
 		EndSessions:       5400 * time.Millisecond,
 		MaxQueue:          4096,
 		MaxClients:        3000,
@@ -114,10 +114,9 @@
 const (
 	// Margins by which the steps of a stop end before the limits that Within
 	// derives them from.
-	endTransactionsMargin = 100 * time.Millisecond
-	endSessionsMargin     = 600 * time.Millisecond
-	lingerMargin          = 600 * time.Millisecond
-	drainMargin           = 2 * time.Second
+	endSessionsMargin = 600 * time.Millisecond
+	lingerMargin      = 600 * time.Millisecond
+	drainMargin       = 2 * time.Second
 	// lateDrainPercent is LateDrainWindow as a percentage of DrainWindow.
 	lateDrainPercent = 40
 )
@@ -126,7 +125,7 @@
 // platform waits for a node to stop. drain is how long an instance continues to
 // serve after it has announced that it is leaving.
 func (t Timing) Within(grace, drain time.Duration) Timing {
-	t.EndTransactions = grace/2 - endTransactionsMargin
+	t.EndTransactions = grace / 2
 	t.EndSessions = grace - endSessionsMargin
 	t.Linger = min(t.Linger, t.EndSessions-lingerMargin)
 	t.DrainWindow = max(drain-drainMargin, drain/2)
