Close client sessions only after their last answer has been sent

An answer that the socket does not take at once is cut short if the node closes the session after it, as a stopping proxy does, and a statement that crosses with the close resets the connection, so that the client may lose the answer before it.

Cause: lineserver.Conn.Close drops the bytes that the engine has queued, and the kernel resets a connection that is closed with unread input. A second one: the node refused a session above its limit and closed it before it had read the connect request.

Ruled out: closing later (the reader's pace is not known) and a longer tick.

Change: CloseGracefully ends the sending direction once all has been sent, reads and drops what still arrives, and closes when the remote end has closed its side, or after 2 s. A Conn is known to its server before it has a handler, so that a handler may write and close at once.

--- a/internal/app/lineproxy/connections.go
+++ b/internal/app/lineproxy/connections.go
@@ -28,7 +28,7 @@
 	p.apply(func(now time.Duration) { c.client = p.pool.Accept(c, now) })
 	if c.client == nil {
 		conn.Write(p.codec.Error(nil, lineproto.CodeBusy, tooManySessions))
-		conn.Close()
+		conn.CloseGracefully()
 	}
 	return c
 }
--- a/internal/app/lineproxy/effects.go
+++ b/internal/app/lineproxy/effects.go
@@ -38,8 +38,9 @@
 	effect.Client.Token.(*clientConn).conn.Write(p.buffer)
 }
 
+// closeClient closes a client's connection, after the answers that were written.
 func (p *Proxy) closeClient(effect linepool.CloseClient) {
-	effect.Client.Token.(*clientConn).conn.Close()
+	effect.Client.Token.(*clientConn).conn.CloseGracefully()
 }
 
 func (p *Proxy) openConn(effect linepool.OpenConn) {
--- a/internal/transport/lineserver/conn.go
+++ b/internal/transport/lineserver/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -12,6 +13,10 @@
 // remote end sent a line longer than the server allows.
 const ErrLineTooLong = errors.ConstError("line too long")
 
+// gracefulCloseTimeout is how long CloseGracefully waits for the remote end to read
+// what was written and to close its side.
+const gracefulCloseTimeout = 2 * time.Second
+
 // Handler handles the events of one connection.
 type Handler interface {
 	// OnLines is called with the complete lines that arrived together, without their
@@ -24,7 +29,9 @@
 
 // Conn is a TCP connection that carries lines.
 type Conn struct {
-	raw     *nbio.Conn
+	server *Server
+	raw    *nbio.Conn
+	// handler is set once, under the server's mutex.
 	handler Handler
 	// partial is the start of a line that has not arrived completely.
 	partial       []byte
@@ -32,8 +39,16 @@
 	// unsent is the number of bytes that were written and that the socket has not
 	// accepted yet.
 	unsent atomic.Int64
-	// closed is guarded by the server's mutex.
-	closed bool
+	// closing is true after CloseGracefully.
+	closing atomic.Bool
+	// accepted is true if the remote end opened the connection.
+	accepted bool
+	// closed and closeError are guarded by the server's mutex.
+	closed     bool
+	closeError error
+	// sending is true during a graceful close until everything has been sent. It is
+	// guarded by the server's mutex.
+	sending bool
 }
 
 // Write sends bytes without blocking. Bytes that the socket does not accept at once
@@ -43,10 +58,36 @@
 	_, _ = c.raw.Write(data)
 }
 
-// Close closes the connection.
+// Close closes the connection at once. Written bytes that have not been sent are lost.
 func (c *Conn) Close() { _ = c.raw.Close() }
 
+// CloseGracefully closes the connection once everything that was written has been sent
+// and the remote end has closed its side, or after gracefulCloseTimeout. Lines that
+// arrive meanwhile are dropped. They are read, because closing a socket with unread
+// input makes the kernel reset the connection, and the remote end may then lose what
+// was sent.
+func (c *Conn) CloseGracefully() {
+	if !c.closing.CompareAndSwap(false, true) {
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(gracefulCloseTimeout))
+	c.server.beginClose(c)
+	if c.unsent.Load() == 0 {
+		c.server.endWriting(c)
+	}
+}
+
+// onSent is called when the socket has accepted written bytes.
+func (c *Conn) onSent(size int) {
+	if c.unsent.Add(-int64(size)) == 0 && c.closing.Load() {
+		c.server.endWriting(c)
+	}
+}
+
 func (c *Conn) onData(data []byte) {
+	if c.closing.Load() {
+		return
+	}
 	if len(c.partial) > 0 {
 		data = append(c.partial, data...)
 		c.partial = nil
--- a/internal/transport/lineserver/dial.go
+++ b/internal/transport/lineserver/dial.go
@@ -23,8 +23,8 @@
 			handler.OnClose(err)
 			return
 		}
-		conn := &Conn{raw: raw, handler: handler, maxLineLength: s.maxLineLength}
-		s.attach(raw, conn)
+		conn := s.newConn(raw, false)
+		s.attach(conn, handler)
 		onConnect(conn)
 		if _, err := s.engine.AddConn(raw); err != nil {
 			s.detach(raw, err)
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -27,18 +28,18 @@
 	workers       *worker.Group
 	maxLineLength int
 	newHandler    func(*Conn) Handler
-	// mutex guards the session that nbio stores with each raw connection, and the field
-	// closed of each Conn.
+	// mutex guards the session that nbio stores with each raw connection, and the fields
+	// of each Conn that are marked so.
 	mutex sync.Mutex
 	// unsentAtClose is the number of bytes that were written to connections which
 	// were closed before the bytes were sent.
 	unsentAtClose atomic.Int64
+	// accepted is the number of accepted connections that are not closed.
+	accepted atomic.Int64
+	// sending is the number of connections in a graceful close that have bytes to send.
+	sending atomic.Int64
 }
 
-// closedBeforeAttach is the session of a raw connection that was closed before its
-// Conn was attached.
-type closedBeforeAttach struct{ err error }
-
 // NewServer returns a server for an address, which Start opens. With an empty
 // address the server only dials. newHandler returns the handler of an accepted
 // connection. A line may have up to maxLineLength bytes.
@@ -53,7 +54,7 @@
 	s.engine.OnClose(s.detach)
 	s.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, size int) {
 		if conn := s.connOf(raw); conn != nil {
-			conn.unsent.Add(-int64(size))
+			conn.onSent(size)
 		}
 	})
 	return s
@@ -72,6 +73,14 @@
 // were closed before the bytes were sent.
 func (s *Server) UnsentAtClose() int64 { return s.unsentAtClose.Load() }
 
+// Accepted returns the number of accepted connections that are open, or in a graceful
+// close.
+func (s *Server) Accepted() int { return int(s.accepted.Load()) }
+
+// Sending returns the number of connections in a graceful close that have bytes to
+// send.
+func (s *Server) Sending() int { return int(s.sending.Load()) }
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop() { s.engine.Stop() }
 
@@ -79,9 +88,8 @@
 	if s.connOf(raw) != nil {
 		return // The connection was dialed and has its Conn already.
 	}
-	conn := &Conn{raw: raw, maxLineLength: s.maxLineLength}
-	conn.handler = s.newHandler(conn)
-	s.attach(raw, conn)
+	conn := s.newConn(raw, true)
+	s.attach(conn, s.newHandler(conn))
 }
 
 func (s *Server) onData(raw *nbio.Conn, data []byte) {
@@ -90,38 +98,89 @@
 	}
 }
 
-// attach makes a Conn the session of its raw connection. If the raw connection has
-// been closed in the meantime, attach notifies the handler.
-func (s *Server) attach(raw *nbio.Conn, conn *Conn) {
-	s.mutex.Lock()
-	earlyClose, closed := raw.Session().(closedBeforeAttach)
-	conn.closed = closed
-	if !closed {
-		raw.SetSession(conn)
+// newConn returns the Conn of a raw connection. It has no handler yet.
+func (s *Server) newConn(raw *nbio.Conn, accepted bool) *Conn {
+	conn := &Conn{server: s, raw: raw, accepted: accepted, maxLineLength: s.maxLineLength}
+	if accepted {
+		s.accepted.Add(1)
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	raw.SetSession(conn)
+	return conn
+}
+
+// attach sets the handler of a connection. If the connection has been closed in the
+// meantime, attach notifies the handler.
+func (s *Server) attach(conn *Conn, handler Handler) {
+	s.mutex.Lock()
+	conn.handler = handler
+	closed := conn.closed
 	s.mutex.Unlock()
 	if closed {
-		conn.handler.OnClose(earlyClose.err)
+		handler.OnClose(conn.closeError)
 	}
 }
 
-// detach notifies the handler that the connection was closed, once. If no Conn is
-// attached yet, attach notifies the handler later.
+// detach notifies the handler that the connection was closed, once. If the connection
+// has no handler yet, attach notifies it later.
 func (s *Server) detach(raw *nbio.Conn, err error) {
+	if conn := s.connOf(raw); conn != nil && s.markClosed(conn, err) {
+		conn.handler.OnClose(err)
+	}
+}
+
+// markClosed records that a connection was closed. It returns true if a handler is to be
+// notified of it.
+func (s *Server) markClosed(conn *Conn, err error) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if conn.closed {
+		return false
+	}
+	conn.closed, conn.closeError = true, err
+	s.unsentAtClose.Add(conn.unsent.Load())
+	s.clearSending(conn)
+	if conn.accepted {
+		s.accepted.Add(-1)
+	}
+	return conn.handler != nil
+}
+
+// clearSending records that a connection has no bytes to send any more. The caller
+// holds the mutex.
+func (s *Server) clearSending(conn *Conn) {
+	if conn.sending {
+		conn.sending = false
+		s.sending.Add(-1)
+	}
+}
+
+// beginClose records the start of a graceful close.
+func (s *Server) beginClose(conn *Conn) {
 	s.mutex.Lock()
-	conn, attached := raw.Session().(*Conn)
-	notified := attached && conn.closed
-	if attached && !notified {
-		conn.closed = true
-		s.unsentAtClose.Add(conn.unsent.Load())
+	defer s.mutex.Unlock()
+	if !conn.closed {
+		conn.sending = true
+		s.sending.Add(1)
 	}
-	if !attached {
-		raw.SetSession(closedBeforeAttach{err})
+}
+
+// endWriting ends the sending direction of a connection, so that the remote end receives
+// the end of the connection after everything that was sent. The mutex keeps the socket
+// open meanwhile: the engine calls detach before it closes a socket.
+func (s *Server) endWriting(conn *Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if conn.closed {
+		return
 	}
-	s.mutex.Unlock()
-	if attached && !notified {
-		conn.handler.OnClose(err)
+	s.clearSending(conn)
+	socket, err := conn.raw.SyscallConn()
+	if err != nil {
+		return
 	}
+	_ = socket.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
 }
 
 func (s *Server) connOf(raw *nbio.Conn) *Conn {
--- a/internal/transport/lineserver/server_test.go
+++ b/internal/transport/lineserver/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -66,6 +67,9 @@
 	server    *Server
 	address   string
 	recorders chan *recorder
+	// onAccept, if set, is called with each accepted connection before it has a
+	// handler.
+	onAccept atomic.Pointer[func(*Conn)]
 }
 
 func startTestServer(t *testing.T, maxLineLength int, echo bool) *testServer {
@@ -73,14 +77,18 @@
 	s.server = NewServer(worker.NewGroup(), s.address, maxLineLength, func(conn *Conn) Handler {
 		recorder := newRecorder()
 		recorder.conn, recorder.echo = conn, echo
+		if act := s.onAccept.Load(); act != nil {
+			(*act)(conn)
+		}
 		s.recorders <- recorder
 		return recorder
 	})
 	So(s.server.Start(), ShouldBeNil)
 	// Wait until the listener accepts connections: the engine of nbio never stops if
 	// Stop is called before its listener runs.
-	firstConn, _ := s.dial()
+	firstConn, firstRecorder := s.dial()
 	So(firstConn.Close(), ShouldBeNil)
+	So(firstRecorder.next(), ShouldEqual, "ended")
 	return s
 }
 
