End each session of a stopping line proxy with an error

What callers saw: a statement that crosses with the close of an idle session is cut off without an answer, and a write that is cut off has no known outcome. A transaction in use was ended between two statements in the second half of the grace period, as the tick found it without a statement.

Cause: closing sessions silently. The node drops such a statement and can say so before it knows of it: PROTOCOL.md lets a node send an ERROR while nothing is asked, and a client that has asked takes it as its answer.

Ruled out: waiting for the client to close first; the wire has no message for it.

Change: closeStopping is the one way in which a drain closes a session. It sends BUSY, or ABORTED to a session in a transaction, and then closes. In the second half of the grace period a session in a transaction is closed after 250 ms without a statement, not at the next tick.

Tests seen failing without the change: "After half of the grace period a transaction that is in use is not ended between two statements" (Expected: false, Actual: true); the cases of TestDrainEndAnswersAll and of TestDrainEndsBusySessions ask for the error too. The random clients check it against their state and their open transaction.

--- a/internal/coordination/pool/linepool/drain.go
+++ b/internal/coordination/pool/linepool/drain.go
@@ -108,16 +108,16 @@
 func (m *Machine) closeIfIdle(client *Client, now time.Duration) {
 	waitsForNothing := client.request == nil && client.state == lineproto.StateIdle && !client.isConnecting()
 	if waitsForNothing && now-client.lastUsed >= m.timing.DrainIdle {
-		m.endSession(client, now)
+		m.closeStopping(client, now)
 	}
 }
 
-// closeIfInactive closes a session that is idle, even inside a transaction. The
-// transaction is rolled back, and the client is told so.
+// closeIfInactive closes a session that is idle, also if it has been idle in a
+// transaction for Timing.DrainIdleInTransaction.
 func (m *Machine) closeIfInactive(client *Client, now time.Duration) {
-	if client.request == nil && client.state != lineproto.StateIdle {
-		m.countDrained(client)
-		m.closeWithError(client, stoppingErrors.aborted, now)
+	inTransaction := client.request == nil && client.state != lineproto.StateIdle
+	if inTransaction && now-client.lastUsed >= m.timing.DrainIdleInTransaction {
+		m.closeStopping(client, now)
 		return
 	}
 	m.closeIfIdle(client, now)
@@ -136,19 +136,34 @@
 // client continues at another node.
 func (m *Machine) EndInput(client *Client, now time.Duration) {
 	if client.rejected && !client.closed && client.request == nil {
-		m.countDrained(client)
-		m.closeClient(client, now)
+		m.closeStopping(client, now)
 	}
 }
 
 // endSession answers everything that a client waits for, and closes its
 // session.
 func (m *Machine) endSession(client *Client, now time.Duration) {
-	m.countDrained(client)
+	m.countUnanswered(client)
 	for client.request != nil {
 		drainEnders[client.request.phase](m, client.request, now)
 	}
-	m.closeClient(client, now)
+	m.closeStopping(client, now)
+}
+
+// closeStopping closes a session that waits for nothing, because the node stops.
+// The client is sent an error, which is the answer to a statement that crosses
+// with the close: the node drops the statement and rolls the client's open
+// transaction back, so that nothing is kept.
+func (m *Machine) closeStopping(client *Client, now time.Duration) {
+	if client.closed {
+		return
+	}
+	err := errStopping
+	if client.state != lineproto.StateIdle {
+		err = stoppingErrors.aborted
+	}
+	m.Count("drain_sessions", 1)
+	m.closeWithError(client, err, now)
 }
 
 // drainEnders holds, by phase, the function that ends a request at the end of a
@@ -186,11 +201,9 @@
 	phaseUnconfirmed:   "drain_unconfirmed",
 }
 
-// countDrained counts a session that the drain is about to close, and what it
-// still waits for.
-func (m *Machine) countDrained(client *Client) {
+// countUnanswered counts what a session still waits for at the end of a drain.
+func (m *Machine) countUnanswered(client *Client) {
 	if client.request == nil {
-		m.Count("drain_sessions_idle", 1)
 		return
 	}
 	m.Count("drain_sessions_busy", 1)
--- a/internal/coordination/pool/linepool/timing.go
+++ b/internal/coordination/pool/linepool/timing.go
@@ -59,8 +59,11 @@
 	// before it is closed, so that the client's next statement is unlikely to
 	// cross with the close.
 	DrainIdle time.Duration
+	// DrainIdleInTransaction replaces DrainIdle for a session in a transaction,
+	// from EndTransactions on.
+	DrainIdleInTransaction time.Duration
 	// EndTransactions is the time after the start of the drain from which new
-	// work is rejected and idle sessions are closed even inside a transaction.
+	// work is rejected and idle sessions are closed also inside a transaction.
 	// EndSessions is the time at which all sessions are closed.
 	EndTransactions, EndSessions time.Duration
 	// MaxQueue is the maximum number of statements in one queue.
@@ -82,32 +85,33 @@
 // DefaultTiming returns the timing that nodes use in production.
 func DefaultTiming() Timing {
 	return Timing{
-		DefaultTimeout:    5 * time.Second,
-		UnavailableWait:   700 * time.Millisecond,
-		QueueFraction:     0.45,
-		ConnectWait:       1800 * time.Millisecond,
-		OpenTimeout:       700 * time.Millisecond,
-		ClosingGrace:      150 * time.Millisecond,
-		AbandonedTimeout:  10 * time.Second,
-		IdleInTransaction: 3 * time.Second,
-		BackoffMin:        40 * time.Millisecond,
-		BackoffMax:        400 * time.Millisecond,
-		SurplusIdle:       40 * time.Millisecond,
-		RetryDelay:        20 * time.Millisecond,
-		MaxRetries:        8,
-		DrainWindow:       5 * time.Second,
-		LateDrainWindow:   2 * time.Second,
-		LaggingPause:      150 * time.Millisecond,
-		ReplicationBound:  300 * time.Millisecond,
-		Linger:            2300 * time.Millisecond,
-		DrainIdle:         50 * time.Millisecond,
-		EndTransactions:   3 * time.Second,
-		EndSessions:       5400 * time.Millisecond,
-		MaxQueue:          4096,
-		MaxClients:        3000,
-		MaxPipelined:      16,
-		MaxPrepared:       200,
-		ReferenceTarget:   200 * time.Millisecond,
+		DefaultTimeout:         5 * time.Second,
+		UnavailableWait:        700 * time.Millisecond,
+		QueueFraction:          0.45,
+		ConnectWait:            1800 * time.Millisecond,
+		OpenTimeout:            700 * time.Millisecond,
+		ClosingGrace:           150 * time.Millisecond,
+		AbandonedTimeout:       10 * time.Second,
+		IdleInTransaction:      3 * time.Second,
+		BackoffMin:             40 * time.Millisecond,
+		BackoffMax:             400 * time.Millisecond,
+		SurplusIdle:            40 * time.Millisecond,
+		RetryDelay:             20 * time.Millisecond,
+		MaxRetries:             8,
+		DrainWindow:            5 * time.Second,
+		LateDrainWindow:        2 * time.Second,
+		LaggingPause:           150 * time.Millisecond,
+		ReplicationBound:       300 * time.Millisecond,
+		Linger:                 2300 * time.Millisecond,
+		DrainIdle:              50 * time.Millisecond,
+		DrainIdleInTransaction: 250 * time.Millisecond,
+		EndTransactions:        3 * time.Second,
+		EndSessions:            5400 * time.Millisecond,
+		MaxQueue:               4096,
+		MaxClients:             3000,
+		MaxPipelined:           16,
+		MaxPrepared:            200,
+		ReferenceTarget:        200 * time.Millisecond,
 	}
 }
 
