Answer every request that a stopping HTTP proxy still holds

After 5.5 s of a drain the proxy closed its connections to the instances, and 0.7 s later the process ended with the handlers of unanswered requests still waiting for their deadline: their connections ended without an answer.

Cause: DisconnectSessions closes pinned connections and leaves the requests to their deadlines, which may lie behind the end of the process (5 s if the client names none, and up to what it names).

Change: EndDrain answers all requests that have been accepted and not answered, by the paths that a passed deadline takes, tells that the node stopped, ends their sessions, and then closes pinned connections. The machine keeps the unanswered requests.

Ruled out: waiting for the deadlines; the grace period is shorter.

--- a/internal/app/httpproxy/drain.go
+++ b/internal/app/httpproxy/drain.go
@@ -21,9 +21,9 @@
 	lingerTimeout = 700 * time.Millisecond
 )
 
-// Drain makes the node unready, rejects queued requests with a retry delay, waits
-// for requests and transactions in flight, closes the sessions, and hands over the
-// records of request ids to another node.
+// Drain makes the node unready, rejects queued requests with a retry delay, and waits
+// for requests and transactions in flight. Then it answers the requests that are left,
+// closes the sessions, and hands over the records of request ids to another node.
 func (p *Proxy) Drain() {
 	p.log.Info("shutting down: no new work is accepted")
 	p.node.Leave()
@@ -32,7 +32,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	sessions := 0
-	p.apply(func(time.Duration) { sessions = p.pool.DisconnectSessions() })
+	p.apply(func(now time.Duration) { sessions = p.pool.EndDrain(now) })
 	p.handOver()
 	p.log.Info("shut down", "sessions", sessions, "unfinished", p.activeSessions())
 	time.Sleep(lingerTimeout)
--- a/internal/coordination/pool/httppool/accept.go
+++ b/internal/coordination/pool/httppool/accept.go
@@ -42,6 +42,9 @@
 		request.databaseName, request.freshness = binding.Database, binding.Freshness
 	}
 	session.busy, session.lastUsed = true, now
+	m.lastRequestNumber++
+	request.number = m.lastRequestNumber
+	m.unanswered[request] = true
 	return request, Result{}, true
 }
 
--- a/internal/coordination/pool/httppool/cancel.go
+++ b/internal/coordination/pool/httppool/cancel.go
@@ -12,53 +12,65 @@
 	retryAfterMax    = 5 * time.Second
 )
 
+// cancelCause is the beginning of the text that tells a client why its request was
+// ended before it was sent.
+type cancelCause string
+
+const (
+	causeDeadline cancelCause = "deadline passed"
+	causeStopping cancelCause = "this node stopped"
+)
+
 // Cancel ends a request, for example because its deadline has passed or the next
 // stage has no capacity for it. The request is answered at once, with the outcome
 // as far as it is known.
-func (m *Machine) Cancel(request *Request, now time.Duration) {
+func (m *Machine) Cancel(request *Request, now time.Duration) { m.cancel(request, causeDeadline, now) }
+
+func (m *Machine) cancel(request *Request, cause cancelCause, now time.Duration) {
 	if request.responded {
 		return
 	}
 	m.Count("gave_up", 1)
-	cancelByPhase[request.phase](m, request, now)
+	cancelByPhase[request.phase](m, request, cause, now)
 }
 
-var cancelByPhase = map[phase]func(*Machine, *Request, time.Duration){
+var cancelByPhase = map[phase]func(*Machine, *Request, cancelCause, time.Duration){
 	phaseNew:           (*Machine).cancelUnbound,
 	phaseAwaitingLease: (*Machine).cancelUnbound,
-	phaseLookup: func(m *Machine, request *Request, now time.Duration) {
+	phaseLookup: func(m *Machine, request *Request, _ cancelCause, now time.Duration) {
 		m.respond(request, unknownOutcome("the node that had this go has not answered"), now)
 	},
-	phaseAwaitingFirstAttempt: func(m *Machine, request *Request, now time.Duration) {
+	phaseAwaitingFirstAttempt: func(m *Machine, request *Request, _ cancelCause, now time.Duration) {
 		m.respond(request, unknownOutcome("its first sending is still out"), now)
 	},
 	phaseQueued:   (*Machine).cancelQueued,
 	phaseAssigned: (*Machine).cancelAssigned,
-	phaseInFlight: (*Machine).abandon,
-	phaseUnconfirmed: func(m *Machine, request *Request, now time.Duration) {
+	phaseInFlight: func(m *Machine, request *Request, _ cancelCause, now time.Duration) { m.abandon(request, now) },
+	phaseUnconfirmed: func(m *Machine, request *Request, _ cancelCause, now time.Duration) {
 		m.recordUnknown(request, now)
 		m.respond(request, unknownOutcome("it ran, but is not yet shown to be safe on the replicas"), now)
 	},
-	phaseDone: func(*Machine, *Request, time.Duration) {},
+	phaseDone: func(*Machine, *Request, cancelCause, time.Duration) {},
 }
 
-const notForwardedText = "deadline passed before it was passed on"
+const notForwardedText = " before it was passed on"
 
-func (m *Machine) cancelUnbound(request *Request, now time.Duration) {
-	m.respond(request, Result{Outcome: m.unsentOutcome(request), Error: notForwardedText, RetryAfter: m.retryAfter(request, now)}, now)
+func (m *Machine) cancelUnbound(request *Request, cause cancelCause, now time.Duration) {
+	text := string(cause) + notForwardedText
+	m.respond(request, Result{Outcome: m.unsentOutcome(request), Error: text, RetryAfter: m.retryAfter(request, now)}, now)
 }
 
-func (m *Machine) cancelQueued(request *Request, now time.Duration) {
+func (m *Machine) cancelQueued(request *Request, cause cancelCause, now time.Duration) {
 	m.dequeue(request)
 	m.recordNotCommitted(request, now)
-	result := notCommitted("deadline passed while waiting in line: " + m.waitReason(request, now))
+	result := notCommitted(string(cause) + " while waiting in line: " + m.waitReason(request, now))
 	result.RetryAfter = m.retryAfter(request, now)
 	m.respond(request, result, now)
 }
 
-func (m *Machine) cancelAssigned(request *Request, now time.Duration) {
+func (m *Machine) cancelAssigned(request *Request, cause cancelCause, now time.Duration) {
 	m.recordNotCommitted(request, now)
-	result := notCommitted(notForwardedText)
+	result := notCommitted(string(cause) + notForwardedText)
 	result.RetryAfter = m.retryAfter(request, now)
 	m.respond(request, result, now)
 }
--- a/internal/coordination/pool/httppool/cancel_test.go
+++ b/internal/coordination/pool/httppool/cancel_test.go
@@ -9,42 +9,46 @@
 	"tansyseam/internal/state/model"
 )
 
+// unansweredPhases are the phases of a request with the token t that has not been
+// answered. reach submits the request in a session, with a request id, and brings it
+// into the phase. outcome is its outcome if it ends there.
+var unansweredPhases = []struct {
+	name    string
+	outcome Outcome
+	reach   func(*harness, string, string) *Request
+}{
+	{"accepted", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
+		return h.accept(sessionID, "t", write(id), time.Second)
+	}},
+	{"without a lease", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
+		h.phase = ""
+		h.advance(2 * time.Second)
+		return h.submit(sessionID, "t", write(id))
+	}},
+	{"asking another node", OutcomeUnknown, func(h *harness, sessionID, _ string) *Request { return h.submit(sessionID, "t", write("d2~1~1.1")) }},
+	{"waiting for the first attempt", OutcomeUnknown, func(h *harness, sessionID, id string) *Request {
+		h.submit(h.openSession("x", "other"), "first", write(id))
+		return h.submit(sessionID, "t", write(id))
+	}},
+	{"queued", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
+		h.phase = model.PhaseClosing
+		h.update()
+		return h.submit(sessionID, "t", write(id))
+	}},
+	{"in flight", OutcomeUnknown, func(h *harness, sessionID, id string) *Request { return h.submit(sessionID, "t", write(id)) }},
+	{"unconfirmed", OutcomeUnknown, func(h *harness, sessionID, id string) *Request {
+		request := h.submit(sessionID, "t", write(id))
+		h.reply(Reply{Clean: true, Position: model.Position{Term: 1, Index: 9}})
+		return request
+	}},
+	{"a read in flight", OutcomeNotCommitted, func(h *harness, sessionID, _ string) *Request {
+		return h.submit(sessionID, "t", Op{Kind: OpRun, Text: "r"})
+	}},
+}
+
 func TestDeadlineInEachPhase(t *testing.T) {
 	Convey("A request that is cancelled at its deadline is answered at once in each phase, with its outcome and a time to retry", t, func() {
-		phases := []struct {
-			name    string
-			outcome Outcome
-			reach   func(*harness, string, string) *Request
-		}{
-			{"accepted", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
-				return h.accept(sessionID, "t", write(id), time.Second)
-			}},
-			{"without a lease", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
-				h.phase = ""
-				h.advance(2 * time.Second)
-				return h.submit(sessionID, "t", write(id))
-			}},
-			{"asking another node", OutcomeUnknown, func(h *harness, sessionID, _ string) *Request { return h.submit(sessionID, "t", write("d2~1~1.1")) }},
-			{"waiting for the first attempt", OutcomeUnknown, func(h *harness, sessionID, id string) *Request {
-				h.submit(h.openSession("x", "other"), "first", write(id))
-				return h.submit(sessionID, "t", write(id))
-			}},
-			{"queued", OutcomeNotCommitted, func(h *harness, sessionID, id string) *Request {
-				h.phase = model.PhaseClosing
-				h.update()
-				return h.submit(sessionID, "t", write(id))
-			}},
-			{"in flight", OutcomeUnknown, func(h *harness, sessionID, id string) *Request { return h.submit(sessionID, "t", write(id)) }},
-			{"unconfirmed", OutcomeUnknown, func(h *harness, sessionID, id string) *Request {
-				request := h.submit(sessionID, "t", write(id))
-				h.reply(Reply{Clean: true, Position: model.Position{Term: 1, Index: 9}})
-				return request
-			}},
-			{"a read in flight", OutcomeNotCommitted, func(h *harness, sessionID, _ string) *Request {
-				return h.submit(sessionID, "t", Op{Kind: OpRun, Text: "r"})
-			}},
-		}
-		for _, phase := range phases {
+		for _, phase := range unansweredPhases {
 			h := newHarness(8)
 			sessionID := h.openSession("x", "a")
 			request := phase.reach(h, sessionID, sessionID+".1")
--- a/internal/coordination/pool/httppool/drain.go
+++ b/internal/coordination/pool/httppool/drain.go
@@ -1,6 +1,8 @@
 package httppool
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,7 +13,9 @@
 func (m *Machine) Drain(now time.Duration) {
 	m.StartDraining()
 	for _, request := range m.awaitingLease {
-		m.Cancel(request, now)
+		result := drainingResult
+		result.Outcome = m.unsentOutcome(request)
+		m.respond(request, result, now)
 	}
 	for _, database := range m.databases.All() {
 		for _, queue := range []*requestQueue{&database.transactions, &database.writes, &database.reads} {
@@ -42,11 +46,27 @@
 	return count
 }
 
-// DisconnectSessions closes all pinned connections and returns the number of
-// sessions that are still open.
-func (m *Machine) DisconnectSessions() int {
+// EndDrain answers all requests that are not answered yet, each with its outcome as
+// far as it is known, and ends their sessions. It closes all pinned connections, which
+// rolls their transactions back, and returns the number of sessions that are still
+// open. Afterwards no request is accepted.
+func (m *Machine) EndDrain(now time.Duration) int {
+	requests := m.unansweredRequests()
+	m.Count("drain_ended", int64(len(requests)))
+	for _, request := range requests {
+		request.session.closed = true
+	}
+	for _, request := range requests {
+		m.cancel(request, causeStopping, now)
+	}
 	for _, session := range m.sessionOrder {
 		m.discardPinned(session)
 	}
 	return len(m.sessions)
 }
+
+// unansweredRequests returns the requests that have been accepted and not answered, in
+// the order in which they were accepted.
+func (m *Machine) unansweredRequests() []*Request {
+	return slices.SortedFunc(maps.Keys(m.unanswered), func(a, b *Request) int { return cmp.Compare(a.number, b.number) })
+}
--- a/internal/coordination/pool/httppool/machine.go
+++ b/internal/coordination/pool/httppool/machine.go
@@ -36,9 +36,12 @@
 	lastSessionNumber uint64
 	lastExpiry        time.Duration
 
-	awaitingLease []*Request
-	requestLog    *idempotency.Machine
-	lookups       lookups
+	// unanswered holds the requests that have been accepted and not answered.
+	unanswered        map[*Request]bool
+	lastRequestNumber uint64
+	awaitingLease     []*Request
+	requestLog        *idempotency.Machine
+	lookups           lookups
 
 	jitterCount uint64
 }
@@ -54,6 +57,7 @@
 		peers:             flowcontrol.PeerCounter{Max: 1},
 		sessions:          map[string]*clientSession{},
 		sessionsByAddress: map[string][]*clientSession{},
+		unanswered:        map[*Request]bool{},
 		requestLog:        idempotency.New(node.Name, node.Incarnation, idempotency.DefaultTiming()),
 		lookups:           newLookups(),
 	}
--- a/internal/coordination/pool/httppool/request.go
+++ b/internal/coordination/pool/httppool/request.go
@@ -34,6 +34,8 @@
 	// Token belongs to the caller of Accept.
 	Token any
 
+	// number is the request's number in order of acceptance.
+	number    uint64
 	op        Op
 	session   *clientSession
 	arrivedAt time.Duration
--- a/internal/coordination/pool/httppool/respond.go
+++ b/internal/coordination/pool/httppool/respond.go
@@ -12,6 +12,7 @@
 		return
 	}
 	request.responded = true
+	delete(m.unanswered, request)
 	if result.Error != "" && result.RetryAfter == 0 && result.Cause == nil {
 		result.RetryAfter = retryAfterDefault
 	}
--- a/test/simulation/node_stop.go
+++ b/test/simulation/node_stop.go
@@ -51,11 +51,11 @@
 	check()
 }
 
-// finishStop disconnects all sessions, hands over the idempotency records and
+// finishStop ends all requests and sessions, hands over the idempotency records and
 // crashes the node. A stop during which the node was frozen is not recorded as a
 // planned restart.
 func (n *node) finishStop(since time.Duration, freezes int, downTime time.Duration) {
-	n.step(func(time.Duration) { n.pool.DisconnectSessions() })
+	n.step(func(now time.Duration) { n.pool.EndDrain(now) })
 	n.handOverRecords()
 	linger := nodeLingerTime
 	if n.fleet.defects.AbruptStop {
