Let the HTTP server finish running handlers before it closes connections

What callers saw: nothing yet; found on the path of a stop after the drain. A request whose handler runs while the node stops loses its connection: callers of a control process, and callers of the HTTP proxy in the last moments.

Cause: Server.Close stops the engine, which closes all connections at once.

Ruled out: counting in the handler. The engine writes the response after the handler has returned.

Change: the server counts the engine's jobs, each of which runs a handler and writes its response, and Close waits for them for 500 ms at most.

Test seen failing without the change: TestClose (the server closed 50 ms before the handler was allowed to finish; the test now waits for events only).

Open: a response of which the client has not read all when the engine stops is still cut short. The library shows no queue of a connection.

--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +16,10 @@
 	MaxBodySize = 1 << 20
 	// serverPollers is the number of event loops of a server.
 	serverPollers = 2
+	// closeTimeout is how long Close waits for the handlers that run.
+	closeTimeout = 500 * time.Millisecond
+	// closePollInterval is how often Close checks whether handlers run.
+	closePollInterval = 2 * time.Millisecond
 	// idleTimeout is how long a connection without requests stays open.
 	idleTimeout = 10 * time.Minute
 )
@@ -30,7 +35,12 @@
 
 // Server serves HTTP at one address.
 type Server struct {
-	engine *nbhttp.Engine
+	engine       *nbhttp.Engine
+	closeTimeout time.Duration
+	// running is the number of jobs that run handlers and write their responses.
+	running atomic.Int64
+	// closing is true once Close has been called.
+	closing atomic.Bool
 }
 
 // Listen listens on an address and serves requests. If onDisconnect is not nil, it is
@@ -48,6 +58,8 @@
 		KeepaliveTime:           idleTimeout,
 		ReleaseWebsocketPayload: true,
 	})
+	server := &Server{engine: engine, closeTimeout: closeTimeout}
+	server.countJobs()
 	syncConnectionHandoff(engine.Engine)
 	if onDisconnect != nil {
 		engine.OnClose(func(conn net.Conn, _ error) { onDisconnect(conn.RemoteAddr().String()) })
@@ -55,11 +67,31 @@
 	if err := engine.Start(); err != nil {
 		return nil, errors.WithType(errors.Annotatef(err, "listen %s", address), ErrListen)
 	}
-	return &Server{engine: engine}, nil
+	return server, nil
 }
 
-// Close closes the listener and all connections.
-func (s *Server) Close() { s.engine.Stop() }
+// countJobs has the engine count the jobs that run handlers. A job ends after the
+// response has been written.
+func (s *Server) countJobs() {
+	execute := s.engine.Execute
+	s.engine.Execute = func(job func()) {
+		s.running.Add(1)
+		execute(func() {
+			defer s.running.Add(-1)
+			job()
+		})
+	}
+}
+
+// Close waits for the handlers that run, within a bound, and then closes the listener
+// and all connections.
+func (s *Server) Close() {
+	s.closing.Store(true)
+	for deadline := time.Now().Add(s.closeTimeout); s.running.Load() > 0 && time.Now().Before(deadline); {
+		time.Sleep(closePollInterval)
+	}
+	s.engine.Stop()
+}
 
 // ReadBody returns the body of a request. The error is ErrBodyTooLarge, or the error
 // of reading the body.
