Keep a stop signal apart from reloads

What callers saw: nothing yet; found on the paths of SIGTERM beside SIGHUP. A process that gets more than four SIGHUPs before it reads them, as during its start, drops the SIGTERM after them, and one whose reload hangs (a slow file) begins its drain after the reload. It is killed at the end of the grace period with all its sessions.

Cause: one channel of four for all signals; os/signal drops what does not fit, and awaitStop reloaded in its own loop.

Change: stop signals and reload signals have a channel of one each, and a worker reloads. A SIGHUP that arrives while one waits is covered by it, since a reload reads the file when it begins. The process listens for signals first of all: before, a SIGHUP in the first moments ended it.

Conclusion: nothing but the signal itself decides when a drain begins.

--- a/internal/app/bootstrap/bootstrap.go
+++ b/internal/app/bootstrap/bootstrap.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -32,8 +30,6 @@
 )
 
 const (
-	// signalQueueSize is the number of signals that can wait to be handled.
-	signalQueueSize = 4
 	// fileCheckInterval is how often the configuration file is checked for
 	// changes.
 	fileCheckInterval = 500 * time.Millisecond
@@ -57,6 +53,8 @@
 
 // Main runs a daemon until a signal stops it, and returns the exit code.
 func Main(program config.Program, args []string, open OpenFunc) int {
+	signals := listenForSignals()
+	defer signals.close()
 	DisableEngineLog()
 	cfg, err := config.Parse(program, args)
 	if err != nil {
@@ -68,9 +66,6 @@
 		return ExitOK
 	}
 	logger := newLogger(program, cfg)
-	// Signals that arrive during the start are queued until it has finished.
-	signals := make(chan os.Signal, signalQueueSize)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	node, daemon, err := start(program, cfg, logger, open)
 	if err != nil {
 		logger.Error("cannot start", "error", err)
@@ -120,22 +115,11 @@
 }
 
 // run serves until a stop signal arrives, and then drains the daemon.
-func run(node *node.Node, daemon Daemon, reloader *reloader, signals <-chan os.Signal) {
+func run(node *node.Node, daemon Daemon, reloader *reloader, signals signals) {
 	node.Workers.Loop(nil, fileCheckInterval, reloader.checkFile)
 	node.Workers.Loop(nil, countersLogInterval, func() {
 		reloader.logger.Debug("counters", "counts", node.Counters.Snapshot())
 	})
-	awaitStop(signals, func() { reloader.reload("signal") })
+	signals.awaitStop(node.Workers, func() { reloader.reload("signal") })
 	daemon.Drain()
 }
-
-// awaitStop returns when a stop signal arrives. Until then it calls reload for
-// each SIGHUP.
-func awaitStop(signals <-chan os.Signal, reload func()) {
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			return
-		}
-		reload()
-	}
-}
