Test that a new binding set leaves no statement without an answer

The paths by which a statement ends while the configuration changes were read (bind, requeue, UpdateInstance, updateCapacities, the drain window of an instance): each answers. No fault was found. The cases of the drain's end are played with a binding set that removes their binding and database, and the random drains change the binding set meanwhile.

--- a/internal/coordination/pool/linepool/drain_test.go
+++ b/internal/coordination/pool/linepool/drain_test.go
@@ -421,3 +421,23 @@
 		So(h.closedClients[client], ShouldBeTrue)
 	})
 }
+
+func TestConfigurationChangeAnswersAll(t *testing.T) {
+	// Guards against statements that lose their answer because a new binding set no
+	// longer has their binding.
+	for _, test := range drainEndCases {
+		Convey("If a new binding set removes the binding and the database, the node still answers "+test.name+", and the session stays open", t, func() {
+			h := newPatientHarness()
+			client := test.arrange(h)
+			answered := h.responseCount(client)
+			next := h.snapshot.Sets[0]
+			next.Sequence, next.Version, next.Bindings, next.Databases = 2, 6, nil, nil
+			h.snapshot.Sets = append(h.snapshot.Sets, next)
+			h.update(leaseDuration)
+			h.advanceInTicks(31 * time.Second)
+			So(h.responseCount(client)-answered, ShouldEqual, len(test.answers))
+			So(h.closedClients[client], ShouldBeFalse)
+			So(h.invariantViolation(), ShouldEqual, "")
+		})
+	}
+}
--- a/internal/coordination/pool/linepool/random_test.go
+++ b/internal/coordination/pool/linepool/random_test.go
@@ -321,11 +321,27 @@
 	})
 }
 
-// drain stops the node as planned, with random events until all sessions are
-// closed.
+// changeBindings puts a new binding set into force, with a random binding removed.
+func (s *simulation) changeBindings() {
+	next := s.snapshot.Sets[len(s.snapshot.Sets)-1]
+	next.Sequence++
+	next.Version++
+	next.Bindings = testBindings()
+	removed := s.random.IntN(len(next.Bindings))
+	next.Bindings = slices.Delete(next.Bindings, removed, removed+1)
+	s.snapshot.Sets = append(s.snapshot.Sets, next)
+	s.update(leaseDuration)
+	s.sync()
+}
+
+// drain stops the node as planned, with random events and changes of the configuration
+// until all sessions are closed.
 func (s *simulation) drain() {
 	s.Drain(s.now)
 	for deadline := s.now + s.timing.EndSessions + 100*time.Millisecond; s.now < deadline && s.violation == ""; {
+		if s.chance(0.01) {
+			s.changeBindings()
+		}
 		s.step()
 	}
 	if s.violation == "" && !s.IsDrained() {
