--- a/internal/app/lineproxy/effects.go
+++ b/internal/app/lineproxy/effects.go
@@ -38,9 +38,15 @@
 	effect.Client.Token.(*clientConn).conn.Write(p.buffer)
 }
 
-// closeClient closes a client's connection, after the answers that were written.
+// closeClient closes a client's connection, after the answers that were written unless
+// the client has asked for the close.
 func (p *Proxy) closeClient(effect linepool.CloseClient) {
-	effect.Client.Token.(*clientConn).conn.CloseGracefully()
+	conn := effect.Client.Token.(*clientConn).conn
+	if effect.Requested {
+		conn.Close()
+		return
+	}
+	conn.CloseGracefully()
 }
 
 func (p *Proxy) openConn(effect linepool.OpenConn) {
--- a/internal/coordination/pool/linepool/client.go
+++ b/internal/coordination/pool/linepool/client.go
@@ -79,7 +79,12 @@
 }
 
 // Terminate ends the session of a client that has requested it.
-func (m *Machine) Terminate(client *Client, now time.Duration) { m.closeClient(client, now) }
+func (m *Machine) Terminate(client *Client, now time.Duration) {
+	if !client.closed {
+		m.Emit(CloseClient{Client: client, Requested: true})
+		m.ClientLost(client, now)
+	}
+}
 
 // ProtocolError answers an invalid message with an error and closes the
 // session.
--- a/internal/coordination/pool/linepool/effects.go
+++ b/internal/coordination/pool/linepool/effects.go
@@ -23,8 +23,12 @@
 		Client   *Client
 		Messages []lineproto.Message
 	}
-	// CloseClient closes a client's connection.
-	CloseClient struct{ Client *Client }
+	// CloseClient closes a client's connection after the messages to the client.
+	// Requested is true if the client has asked for it and reads nothing more.
+	CloseClient struct {
+		Client    *Client
+		Requested bool
+	}
 	// OpenConn opens a connection to an instance of a database. The handshake
 	// contains the name of the instance, so that another instance at the same
 	// address refuses the connection.
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -52,11 +52,7 @@
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnData(s.onData)
 	s.engine.OnClose(s.detach)
-	s.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, size int) {
-		if conn := s.connOf(raw); conn != nil {
-			conn.onSent(size)
-		}
-	})
+	s.engine.OnWrittenSize(onSent)
 	return s
 }
 
@@ -92,6 +88,13 @@
 	s.attach(conn, s.newHandler(conn))
 }
 
+// onSent needs no mutex: a connection has its Conn before anything is written to it.
+func onSent(raw *nbio.Conn, _ []byte, size int) {
+	if conn, ok := raw.Session().(*Conn); ok {
+		conn.onSent(size)
+	}
+}
+
 func (s *Server) onData(raw *nbio.Conn, data []byte) {
 	if conn := s.connOf(raw); conn != nil {
 		conn.onData(data)
