Bound what a graceful close keeps open, and reject calls while the server closes

Found while the change was read again: a session that is refused above the limit of sessions kept its socket for up to 2 s, so that a flood of connections could use up the descriptors. If everything has been sent, a graceful close now waits 0.5 s. The HTTP server answers requests that arrive while it waits for running handlers with 503, so that none begins work that is cut off; the flag that said that the server closes was used by a test only.

Test: TestClose asks for the 503, too.

--- a/internal/transport/httpserver/close_test.go
+++ b/internal/transport/httpserver/close_test.go
@@ -62,11 +62,14 @@
 			So(ok, ShouldBeTrue)
 			return received
 		}
-		Convey("Close waits for the handler, and the response arrives", func() {
+		Convey("Close waits for the handler, and the response arrives; a request that arrives meanwhile is rejected", func() {
 			closeServer(testTimeout)
 			for !server.closing.Load() {
 				worker.Await(closed, time.Millisecond)
 			}
+			late, ok := worker.ReceiveWithin(workers, get(workers, address), testTimeout)
+			So(ok, ShouldBeTrue)
+			So(late, ShouldResemble, response{status: http.StatusServiceUnavailable})
 			finish <- true
 			So(receive(), ShouldResemble, response{status: http.StatusOK})
 			So(worker.Await(closed, testTimeout), ShouldBeTrue)
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -47,10 +47,11 @@
 // called with the remote address of each connection that is closed. The errors of
 // Listen are of type ErrListen.
 func Listen(address string, handler http.Handler, onDisconnect func(remoteAddress string)) (*Server, error) {
+	server := &Server{closeTimeout: closeTimeout}
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp",
 		Addrs:   []string{address},
-		Handler: withContentLength(handler),
+		Handler: server.rejectWhileClosing(withContentLength(handler)),
 		NPoller: serverPollers,
 		// The library's limit is above the limit of ReadBody, so that a request whose
 		// body is too large receives a response.
@@ -58,7 +59,7 @@
 		KeepaliveTime:           idleTimeout,
 		ReleaseWebsocketPayload: true,
 	})
-	server := &Server{engine: engine, closeTimeout: closeTimeout}
+	server.engine = engine
 	server.countJobs()
 	syncConnectionHandoff(engine.Engine)
 	if onDisconnect != nil {
@@ -70,6 +71,18 @@
 	return server, nil
 }
 
+// rejectWhileClosing answers the requests that arrive after Close has been called.
+func (s *Server) rejectWhileClosing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // countJobs has the engine count the jobs that run handlers. A job ends after the
 // response has been written.
 func (s *Server) countJobs() {
@@ -84,7 +97,7 @@
 }
 
 // Close waits for the handlers that run, within a bound, and then closes the listener
-// and all connections.
+// and all connections. Requests that arrive meanwhile get the status 503.
 func (s *Server) Close() {
 	s.closing.Store(true)
 	for deadline := time.Now().Add(s.closeTimeout); s.running.Load() > 0 && time.Now().Before(deadline); {
--- a/internal/transport/lineserver/conn.go
+++ b/internal/transport/lineserver/conn.go
@@ -13,9 +13,13 @@
 // remote end sent a line longer than the server allows.
 const ErrLineTooLong = errors.ConstError("line too long")
 
-// gracefulCloseTimeout is how long CloseGracefully waits for the remote end to read
-// what was written and to close its side.
-const gracefulCloseTimeout = 2 * time.Second
+const (
+	// closeSendTimeout is how long a graceful close waits for the remote end to read
+	// what was written and to close its side. closeLinger replaces it if everything
+	// has been sent already.
+	closeSendTimeout = 2 * time.Second
+	closeLinger      = 500 * time.Millisecond
+)
 
 // Handler handles the events of one connection.
 type Handler interface {
@@ -62,19 +66,21 @@
 func (c *Conn) Close() { _ = c.raw.Close() }
 
 // CloseGracefully closes the connection once everything that was written has been sent
-// and the remote end has closed its side, or after gracefulCloseTimeout. Lines that
-// arrive meanwhile are dropped. They are read, because closing a socket with unread
+// and the remote end has closed its side, or after a time-out. Lines that arrive
+// meanwhile are dropped. They are read, because closing a socket with unread
 // input makes the kernel reset the connection, and the remote end may then lose what
 // was sent.
 func (c *Conn) CloseGracefully() {
 	if !c.closing.CompareAndSwap(false, true) {
 		return
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(gracefulCloseTimeout))
 	c.server.beginClose(c)
+	timeout := closeSendTimeout
 	if c.unsent.Load() == 0 {
+		timeout = closeLinger
 		c.server.endWriting(c)
 	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // onSent is called when the socket has accepted written bytes.
