--- a/internal/app/control/server.go
+++ b/internal/app/control/server.go
@@ -125,6 +125,7 @@
 	node.ObserveEpoch(s.consensus.Record())
 	s.registerHandlers()
 	s.registerEndpoints()
+	s.registerGauges()
 	return s, nil
 }
 
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"net/http"
 	"os"
 	"reflect"
@@ -50,12 +51,14 @@
 	nodesByName    map[string]model.Node
 	nodesByNameAt  time.Duration
 
-	// The fields of this block are set before Start and only read afterwards.
+	// The fields of this block are set before the addresses are opened and only read
+	// afterwards.
 	callHandlers         map[string]CallHandler
 	messageHandlers      map[reflect.Type]MessageHandler
 	onDisconnect         func(remoteAddress string)
 	onInstance           func(model.Instance)
 	onSyncedAnnouncement SyncedAnnouncementHandler
+	gauges               map[string]func() int64
 
 	server  *httpserver.Server
 	stopped atomic.Bool
@@ -91,6 +94,7 @@
 		config:          nodeConfig,
 		callHandlers:    map[string]CallHandler{},
 		messageHandlers: map[reflect.Type]MessageHandler{},
+		gauges:          map[string]func() int64{},
 	}
 	n.HandleCall("/v1/announce", n.onAnnounce)
 	n.HandleCall("/v1/counters", n.onCounters)
@@ -103,6 +107,7 @@
 func (n *Node) Start() error {
 	nodeConfig := n.Config()
 	n.Hub = rpc.NewHub(nodeConfig.Name, nodeConfig.RPCAddress, n.Workers, n.Counters, n.dispatchMessage)
+	n.addResourceGauges()
 	if err := n.Hub.Listen(); err != nil {
 		return errors.Trace(err)
 	}
@@ -113,6 +118,7 @@
 		return errors.Trace(err)
 	}
 	n.server = server
+	n.Workers.Loop(nil, resourceLogInterval, n.logResources)
 	n.Log.Info("node started", "rpc_address", nodeConfig.RPCAddress, "http_address", nodeConfig.HTTPAddress,
 		"zone", nodeConfig.Zone, "version", config.Version, "pid", os.Getpid())
 	return nil
@@ -154,5 +160,7 @@
 }
 
 func (n *Node) onCounters(*fastjson.Value, []byte, *http.Request) (int, any) {
-	return http.StatusOK, countersResponse{Counters: n.Counters.Snapshot(), Node: n.Self().Name}
+	counters := n.Counters.Snapshot()
+	maps.Copy(counters, n.readGauges())
+	return http.StatusOK, countersResponse{Counters: counters, Node: n.Self().Name}
 }
--- a/internal/transport/rpc/hub.go
+++ b/internal/transport/rpc/hub.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -44,6 +45,11 @@
 	handler   Handler
 	inbox     *worker.Pool[inboundMessage]
 
+	// queues holds the writeQueue of each connection by its *nbio.Conn, and queuedBytes
+	// the sum of their lengths.
+	queues      sync.Map
+	queuedBytes atomic.Int64
+
 	// mutex guards the fields below and the session that nbio stores with each
 	// connection. It is not held while bytes are sent.
 	mutex      sync.Mutex
@@ -81,6 +87,7 @@
 	h.engine.OnOpen(h.onOpen)
 	h.engine.OnData(h.onData)
 	h.engine.OnClose(h.onClose)
+	h.engine.OnWrittenSize(h.onWritten)
 	h.inbox = worker.NewPool(workers, "inbox", inboxSize, inboxWorkers, h.handle)
 	return h
 }
@@ -97,7 +104,9 @@
 	tcp.SetUserTimeout(conn, userTimeout)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	conn.SetSession(newPeer(conn, h.counters))
+	queue := &writeQueue{total: &h.queuedBytes}
+	h.queues.Store(conn, queue)
+	conn.SetSession(newPeer(conn, queue, h.counters))
 }
 
 func (h *Hub) peerOf(conn *nbio.Conn) (*peer, bool) {
@@ -181,6 +190,7 @@
 }
 
 func (h *Hub) onClose(conn *nbio.Conn, _ error) {
+	h.closeQueue(conn)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for address, link := range h.links {
--- a/internal/transport/rpc/peer.go
+++ b/internal/transport/rpc/peer.go
@@ -34,6 +34,7 @@
 // peer is one connection with its outgoing and its incoming gob stream.
 type peer struct {
 	conn     *nbio.Conn
+	queue    *writeQueue
 	counters *worker.Counters
 
 	// mutex guards the outgoing stream. Only the connection's event loop uses the
@@ -48,8 +49,8 @@
 	decoder  *gob.Decoder
 }
 
-func newPeer(conn *nbio.Conn, counters *worker.Counters) *peer {
-	p := &peer{conn: conn, counters: counters}
+func newPeer(conn *nbio.Conn, queue *writeQueue, counters *worker.Counters) *peer {
+	p := &peer{conn: conn, queue: queue, counters: counters}
 	p.encoder, p.decoder = gob.NewEncoder(&p.outBuffer), gob.NewDecoder(&p.inBuffer)
 	return p
 }
@@ -69,6 +70,7 @@
 	}
 	data := p.outBuffer.Bytes()
 	writeHeader(data, streamFlag)
+	p.queue.add(int64(len(data)))
 	_, _ = p.conn.Write(data)
 	p.counters.Add(counterSentBytes, int64(len(data)))
 	return nil
