Replace pending binding sets by newer ones, so that state does not grow with changes

Cause: each change was a complete set of its own until every proxy ran a later one, and the pending sets got their effective times only when all proxies had the newest.

Change: a set that is accepted replaces the pending sets that would take effect at the same time as it, except the oldest, so that something always makes progress; the newest set that all proxies have gets its effective time even if a newer one is pending; of two sets with one effective time only the later is stored. Deadlines are kept: the set that stays carries the acceptance time of those that it replaced.

--- a/internal/coordination/distribution/activation.go
+++ b/internal/coordination/distribution/activation.go
@@ -44,16 +44,28 @@
 	if overdue := m.overdueSets(wallNanos); len(overdue) > 0 && m.mayActivate(overdue, now) {
 		return func(state *store.Table) []store.Put { return rollout.ReplaceSets(state, overdue) }
 	}
-	if !m.snapshot.HasPendingSet() || !m.grantor.AllAcknowledged(m.setVersion(m.snapshot.NewestSet()), now) {
+	acknowledged, found := m.newestAcknowledgedSet(now)
+	if !found {
 		return nil
 	}
 	effectiveAt := wallNanos + int64(m.freezeLeases(now)-now)
-	snapshotVersion, tenure := m.snapshot.Version, m.tenure
+	version, tenure := m.setVersion(acknowledged), m.tenure
 	return func(state *store.Table) []store.Put {
-		return rollout.AssignEffectiveTimes(state, snapshotVersion, effectiveAt, wallNanos, tenure)
+		return rollout.AssignEffectiveTimes(state, version, effectiveAt, wallNanos, tenure)
 	}
 }
 
+// newestAcknowledgedSet returns the newest pending set that every leased node has applied.
+// A newer set that is still being distributed does not delay it.
+func (m *Machine) newestAcknowledgedSet(now time.Duration) (model.BindingSet, bool) {
+	for _, set := range slices.Backward(m.snapshot.Sets) {
+		if set.EffectiveAt == 0 && m.grantor.AllAcknowledged(m.setVersion(set), now) {
+			return set, true
+		}
+	}
+	return model.BindingSet{}, false
+}
+
 // freezeLeases limits the end of the leases granted from now on, and returns the earliest
 // time at which the pending sets may take effect. Both are the end of the last lease granted
 // so far, plus the activation margin, because every lease granted without the effective time
--- a/internal/coordination/rollout/manifest.go
+++ b/internal/coordination/rollout/manifest.go
@@ -31,7 +31,8 @@
 // manifest's version is not above the newest accepted version, and ErrVersionConflict if
 // the manifest's version was already accepted with other content.
 func AcceptManifest(state *store.Table, manifest Manifest, wallNanos int64) ([]store.Put, error) {
-	newest := model.ReadSnapshot(state).NewestSet()
+	snapshot := model.ReadSnapshot(state)
+	newest := snapshot.NewestSet()
 	if newest.Version >= manifest.Version {
 		if differsFromAccepted(state, manifest.Version, manifest.Digest) {
 			return nil, ErrVersionConflict
@@ -41,10 +42,7 @@
 	set := manifest.Set
 	set.Version, set.AcceptedAt, set.Source = manifest.Version, wallNanos, manifest.Source
 	set = successor(newest, set)
-	puts := []store.Put{setPut(set)}
-	if len(manifest.Compressed) > 0 {
-		puts = append(puts, store.Put{Key: ManifestKey(set.Sequence), Data: manifest.Compressed})
-	}
+	puts := acceptPuts(state, snapshot.Sets, set, manifest.Compressed)
 	puts = append(puts, versionPuts(state, set.Sequence, acceptedVersion{Version: manifest.Version, Digest: manifest.Digest})...)
 	action := fmt.Sprintf("version %d accepted as sequence %d", manifest.Version, set.Sequence)
 	return append(puts, auditPuts(state, wallNanos, action, manifest.Source)...), nil
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -30,13 +30,14 @@
 // AcceptBindings returns the puts that accept a set of bindings as the successor of the
 // sequence expected. It returns a SequenceError if expected is not the newest sequence.
 func AcceptBindings(state *store.Table, expected uint64, bindings []model.Binding, source string, wallNanos int64) ([]store.Put, error) {
-	newest := model.ReadSnapshot(state).NewestSet()
+	snapshot := model.ReadSnapshot(state)
+	newest := snapshot.NewestSet()
 	if newest.Sequence != expected {
 		return nil, &SequenceError{Expected: expected, Newest: newest.Sequence}
 	}
 	set := successor(newest, model.BindingSet{Bindings: bindings, AcceptedAt: wallNanos, Source: source})
 	action := fmt.Sprintf("sequence %d accepted", set.Sequence)
-	return append([]store.Put{setPut(set)}, auditPuts(state, wallNanos, action, source)...), nil
+	return append(acceptPuts(state, snapshot.Sets, set, nil), auditPuts(state, wallNanos, action, source)...), nil
 }
 
 // auditPuts returns the puts that add a decision about binding sets to the audit log.
@@ -76,20 +77,15 @@
 }
 
 // DeleteObsolete returns the puts that delete the sets with a sequence below lowest, and
-// the texts of their manifests. The text of the newest manifest is always kept.
+// the texts of manifests whose sets are not stored. The text of the newest manifest is
+// always kept.
 func DeleteObsolete(state *store.Table, lowest uint64) []store.Put {
-	var puts []store.Put
-	for _, set := range model.ReadSnapshot(state).Sets {
+	sets := model.ReadSnapshot(state).Sets
+	var obsolete []model.BindingSet
+	for _, set := range sets {
 		if set.Sequence < lowest {
-			puts = append(puts, store.Put{Key: model.BindingSetKey(set.Sequence), Deleted: true})
+			obsolete = append(obsolete, set)
 		}
 	}
-	manifests := state.Keys(model.PrefixManifest)
-	for index, key := range manifests {
-		isNewest := index+1 == len(manifests)
-		if !isNewest && key < ManifestKey(lowest) {
-			puts = append(puts, store.Put{Key: key, Deleted: true})
-		}
-	}
-	return puts
+	return deletePuts(sets, obsolete, state.Keys(model.PrefixManifest))
 }
--- a/internal/coordination/rollout/scheduled.go
+++ b/internal/coordination/rollout/scheduled.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"tansyseam/internal/coordination/schedule"
@@ -44,29 +45,33 @@
 	if !due {
 		return nil
 	}
-	set := successor(model.ReadSnapshot(state).NewestSet(), model.BindingSet{
+	snapshot := model.ReadSnapshot(state)
+	set := successor(snapshot.NewestSet(), model.BindingSet{
 		Bindings:   change.Bindings,
 		NotBefore:  change.EffectiveAt,
 		AcceptedAt: wallNanos,
 		Source:     "booking " + change.ID,
 	})
-	puts := []store.Put{{Key: model.PrefixScheduledChange + change.ID, Deleted: true}, setPut(set)}
+	puts := append([]store.Put{{Key: model.PrefixScheduledChange + change.ID, Deleted: true}}, acceptPuts(state, snapshot.Sets, set, nil)...)
 	action := fmt.Sprintf("scheduled change %s accepted as sequence %d", change.ID, set.Sequence)
 	return append(puts, auditPuts(state, wallNanos, action, "its effective time is near")...)
 }
 
 // AssignEffectiveTimes returns the puts that assign effective times to the pending sets,
-// none of them before earliest. Sets written after snapshotVersion are left out, since
-// some leased nodes may not have applied them yet. The parameter tenure identifies the
-// primary's tenure that assigns the times.
-func AssignEffectiveTimes(state *store.Table, snapshotVersion store.Version, earliest, wallNanos int64, tenure string) []store.Put {
+// none of them before earliest. Sets written after acknowledged are left out, since some
+// leased nodes may not have applied them yet. A set whose successor takes effect at the
+// same time is deleted instead, because it would never be in effect. The parameter tenure
+// identifies the primary's tenure that assigns the times.
+func AssignEffectiveTimes(state *store.Table, acknowledged store.Version, earliest, wallNanos int64, tenure string) []store.Put {
+	isUnacknowledged := func(set model.BindingSet) bool {
+		return acknowledged.IsBefore(state.Records[model.BindingSetKey(set.Sequence)].Version)
+	}
+	sets := model.ReadSnapshot(state).Sets
+	assigned := slices.DeleteFunc(schedule.AssignEffectiveTimes(sets, earliest), isUnacknowledged)
+	assigned, superseded := dropSimultaneous(assigned)
 	var puts []store.Put
 	newest := uint64(0)
-	for _, set := range schedule.AssignEffectiveTimes(model.ReadSnapshot(state).Sets, earliest) {
-		version := state.Records[model.BindingSetKey(set.Sequence)].Version
-		if snapshotVersion.IsBefore(version) {
-			continue
-		}
+	for _, set := range assigned {
 		set.ScheduledBy = tenure
 		puts = append(puts, setPut(set))
 		newest = set.Sequence
@@ -74,6 +79,7 @@
 	if len(puts) == 0 {
 		return nil
 	}
+	puts = append(puts, deletePuts(sets, superseded, state.Keys(model.PrefixManifest))...)
 	action := fmt.Sprintf("sequence %d takes effect at %d", newest, milliseconds(earliest))
 	return append(puts, auditPuts(state, wallNanos, action, "every leased node has acknowledged it")...)
 }
--- a/internal/state/model/bindings.go
+++ b/internal/state/model/bindings.go
@@ -49,7 +49,8 @@
 // BindingSet is one version of the complete set of bindings. Sets take effect in the
 // order of their sequences.
 type BindingSet struct {
-	// Sequence is the number of the set. Sets are numbered without gaps, from 1.
+	// Sequence is the number of the set. Sets are numbered from 1 in the order in which
+	// they were accepted. Sets that never took effect may be missing.
 	Sequence uint64
 	Bindings []Binding
 	// EffectiveAt is when the set takes effect on all nodes, in Unix nanoseconds by the
@@ -58,8 +59,9 @@
 	EffectiveAt int64
 	// NotBefore is the earliest EffectiveAt that may be assigned to the set, or 0 for any.
 	NotBefore int64
-	// AcceptedAt is when the sequence was assigned to the set, in Unix nanoseconds by the
-	// control primary's clock.
+	// AcceptedAt is when the first of the changes that the set carries was accepted, in
+	// Unix nanoseconds by the control primary's clock. It is earlier than the acceptance
+	// of the set itself if the set replaced others before they took effect.
 	AcceptedAt int64
 	// ScheduledBy identifies the control primary that assigned EffectiveAt, and its period
 	// in that role.
