--- a/internal/protocol/message/registry.go
+++ b/internal/protocol/message/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"tansyseam/internal/coordination/consensus"
+	"tansyseam/internal/coordination/distribution"
 	"tansyseam/internal/coordination/idempotency"
 )
 
@@ -144,3 +145,10 @@
 		gob.RegisterName(kind.name, kind.encoded)
 	}
 })
+
+// IsBulk reports whether a message may be large and is sent to many nodes. Such a message is
+// encoded without the buffers of its connection.
+func IsBulk(body any) bool {
+	update, ok := body.(distribution.Update)
+	return ok && update.Snapshot != nil
+}
--- a/internal/transport/rpc/doc.go
+++ b/internal/transport/rpc/doc.go
@@ -3,9 +3,10 @@
 //
 // Each process has one Hub, which accepts connections and dials the connections that
 // it needs. A connection carries frames. A frame is a header with magic bytes, version,
-// size and checksum, followed by an Envelope in gob encoding. All frames of one
+// size and checksum, followed by an Envelope in gob encoding. The frames of one
 // direction of a connection form one gob stream, so that the description of a type is
-// sent only once. A frame that violates the format closes its connection. Messages of
+// sent only once. Large messages to many nodes are gob streams of their own, so that a
+// connection keeps no buffer of their size (bulk.go). A frame that violates the format closes its connection. Messages of
 // unknown types, which a newer version may send, are skipped.
 //
 // Hub.Send sends a message without waiting. Hub.Call waits for the reply of the remote
--- a/internal/transport/rpc/hub.go
+++ b/internal/transport/rpc/hub.go
@@ -44,6 +44,7 @@
 	engine    *nbio.Engine
 	handler   Handler
 	inbox     *worker.Pool[inboundMessage]
+	bulk      bulkEncoder
 
 	// queues holds the writeQueue of each connection by its *nbio.Conn, and queuedBytes
 	// the sum of their lengths.
@@ -52,8 +53,11 @@
 
 	// mutex guards the fields below and the session that nbio stores with each
 	// connection. It is not held while bytes are sent.
-	mutex      sync.Mutex
-	links      map[string]*outboundLink
+	mutex sync.Mutex
+	links map[string]*outboundLink
+	// inbound holds, by the name of the remote process, the queue of the connection on
+	// which its last message arrived.
+	inbound    map[string]*writeQueue
 	pending    map[uint64]pendingCall
 	lastCallID uint64
 }
@@ -72,6 +76,7 @@
 		counters: counters,
 		handler:  handler,
 		links:    map[string]*outboundLink{},
+		inbound:  map[string]*writeQueue{},
 		pending:  map[uint64]pendingCall{},
 	}
 	if host, _, err := net.SplitHostPort(address); err == nil {
@@ -106,7 +111,7 @@
 	defer h.mutex.Unlock()
 	queue := &writeQueue{total: &h.queuedBytes}
 	h.queues.Store(conn, queue)
-	conn.SetSession(newPeer(conn, queue, h.counters))
+	conn.SetSession(newPeer(conn, queue, &h.bulk, h.counters))
 }
 
 func (h *Hub) peerOf(conn *nbio.Conn) (*peer, bool) {
@@ -164,6 +169,7 @@
 		return err
 	}
 	h.counters.Add(counterReceived, 1)
+	h.noteInbound(envelope.From, from.queue)
 	if envelope.IsReply {
 		h.resolveCall(envelope)
 		return nil
@@ -190,9 +196,9 @@
 }
 
 func (h *Hub) onClose(conn *nbio.Conn, _ error) {
-	h.closeQueue(conn)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.closeQueue(conn)
 	for address, link := range h.links {
 		if link.peer != nil && link.peer.conn == conn {
 			delete(h.links, address)
--- a/internal/transport/rpc/peer.go
+++ b/internal/transport/rpc/peer.go
@@ -35,6 +35,7 @@
 type peer struct {
 	conn     *nbio.Conn
 	queue    *writeQueue
+	bulk     *bulkEncoder
 	counters *worker.Counters
 
 	// mutex guards the outgoing stream. Only the connection's event loop uses the
@@ -49,8 +50,8 @@
 	decoder  *gob.Decoder
 }
 
-func newPeer(conn *nbio.Conn, queue *writeQueue, counters *worker.Counters) *peer {
-	p := &peer{conn: conn, queue: queue, counters: counters}
+func newPeer(conn *nbio.Conn, queue *writeQueue, bulk *bulkEncoder, counters *worker.Counters) *peer {
+	p := &peer{conn: conn, queue: queue, bulk: bulk, counters: counters}
 	p.encoder, p.decoder = gob.NewEncoder(&p.outBuffer), gob.NewDecoder(&p.inBuffer)
 	return p
 }
@@ -60,22 +61,40 @@
 func (p *peer) send(envelope Envelope) error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.outBuffer.Reset()
-	p.outBuffer.Write(make([]byte, headerSize))
 	body := envelope.Body
+	encode := p.encodeStreamed
+	if message.IsBulk(body) {
+		encode = p.bulk.encode
+	}
 	envelope.Body = message.Encode(body)
-	if err := p.encoder.Encode(&envelope); err != nil {
+	if err := encode(&envelope, p.write); err != nil {
 		_ = p.conn.Close()
 		return errors.Annotatef(err, "encode %T", body)
 	}
-	data := p.outBuffer.Bytes()
-	writeHeader(data, streamFlag)
-	p.queue.add(int64(len(data)))
-	_, _ = p.conn.Write(data)
-	p.counters.Add(counterSentBytes, int64(len(data)))
 	return nil
 }
 
+// encodeStreamed calls use with the frame of an envelope that continues the connection's
+// gob stream. The frame is valid only during the call.
+func (p *peer) encodeStreamed(envelope *Envelope, use func(frame []byte)) error {
+	p.outBuffer.Reset()
+	p.outBuffer.Write(make([]byte, headerSize))
+	if err := p.encoder.Encode(envelope); err != nil {
+		return err
+	}
+	frame := p.outBuffer.Bytes()
+	writeHeader(frame, streamFlag)
+	use(frame)
+	return nil
+}
+
+// write passes a frame to the connection, which copies what it cannot write at once.
+func (p *peer) write(frame []byte) {
+	p.queue.add(int64(len(frame)))
+	_, _ = p.conn.Write(frame)
+	p.counters.Add(counterSentBytes, int64(len(frame)))
+}
+
 // decode returns the envelope in a frame. The error is errUnknownMessage or
 // errMalformed.
 func (p *peer) decode(received frame) (Envelope, error) {
--- a/internal/transport/rpc/queue.go
+++ b/internal/transport/rpc/queue.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -65,6 +66,24 @@
 	return longest
 }
 
+// QueuedBytesTo returns the number of bytes that wait at the connection on which the last
+// message of the named process arrived. It is 0 if there is no such connection.
+func (h *Hub) QueuedBytesTo(name string) int64 {
+	h.mutex.Lock()
+	queue, found := h.inbound[name]
+	h.mutex.Unlock()
+	if !found {
+		return 0
+	}
+	return queue.length()
+}
+
+func (h *Hub) noteInbound(name string, queue *writeQueue) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.inbound[name] = queue
+}
+
 // onWritten is called while the engine holds the lock of the connection, so it takes no
 // lock of the hub.
 func (h *Hub) onWritten(conn *nbio.Conn, _ []byte, count int) {
@@ -73,9 +92,14 @@
 	}
 }
 
-// closeQueue ends the accounting of a connection that was closed.
+// closeQueue ends the accounting of a connection that was closed. The caller must hold the
+// mutex.
 func (h *Hub) closeQueue(conn *nbio.Conn) {
-	if queue, found := h.queues.LoadAndDelete(conn); found {
-		queue.(*writeQueue).close()
+	found, ok := h.queues.LoadAndDelete(conn)
+	if !ok {
+		return
 	}
+	queue := found.(*writeQueue)
+	queue.close()
+	maps.DeleteFunc(h.inbound, func(_ string, other *writeQueue) bool { return other == queue })
 }
