Bound the writes that wait at the control primary

Found while looking for the same cause elsewhere: while the disk or the backup is slow, each repeated call of an operator waits as a write of its own, with the text and the set of its configuration, without a bound. Now 256 wait; further ones are answered at once without a clear outcome, as while there is no primary.

TestWritesPileUpWhileBackupIsSilent: 1,023 of 1,024 writes wait without the change.

--- a/internal/coordination/consensus/writes.go
+++ b/internal/coordination/consensus/writes.go
@@ -7,6 +7,11 @@
 	"tansyseam/internal/state/store"
 )
 
+// maxWaitingWrites is the number of writes that may wait at the primary. Further writes are
+// rejected, so that repeated calls do not fill the memory while the disk or the backup is
+// slow.
+const maxWaitingWrites = 256
+
 // writeQueue holds the writes that were submitted to the primary. The primary makes one
 // write at a time, so that at most one write may be on its own disk and not yet on the
 // other disks.
@@ -47,7 +52,7 @@
 }
 
 func (m *Machine) onSubmit(submit Submit, now time.Duration) {
-	if !m.isRecordedPrimary() {
+	if !m.isRecordedPrimary() || len(m.writes.waiting) >= maxWaitingWrites {
 		m.emit(SubmitResult{Token: submit.Token})
 		return
 	}
