--- a/internal/app/control/updates.go
+++ b/internal/app/control/updates.go
@@ -35,7 +35,7 @@
 func (s *Server) flushUpdates() {
 	now := s.node.Now()
 	s.mutex.Lock()
-	updates := s.distributor.Flush(s.isPrimaryAt(now), s.wallTimeLocked(), now)
+	updates := s.distributor.Flush(s.isPrimaryAt(now), s.links(), s.wallTimeLocked(), now)
 	replies := make([]func(any), len(updates))
 	for index, update := range updates {
 		replies[index] = s.updateWaiters[update.Token]
@@ -47,6 +47,15 @@
 	}
 }
 
+// links returns the links to the other nodes. Before the node has started, nothing waits to
+// be sent.
+func (s *Server) links() distribution.Links {
+	if s.node.Hub == nil {
+		return distribution.IdleLinks{}
+	}
+	return s.node.Hub
+}
+
 // onNodeReport handles a node's report on instances while its update request is
 // pending.
 func (s *Server) onNodeReport(report distribution.NodeReport) {
--- a/internal/coordination/distribution/requests.go
+++ b/internal/coordination/distribution/requests.go
@@ -20,6 +20,9 @@
 	request    UpdateRequest
 	token      uint64
 	receivedAt time.Duration
+	// abandoned is true if the node has sent a later request, so that it ignores the
+	// reply to this one.
+	abandoned bool
 	// tenureCount is the machine's tenureCount when the request was received.
 	// baselineMissing is true if the request leaves out reports that this tenure does
 	// not have.
@@ -41,11 +44,23 @@
 	if request.Kind == model.KindProxy && !baselineMissing {
 		m.processRequest(request, now)
 	}
+	m.abandonEarlier(request)
 	m.pending = append(m.pending, pendingRequest{
 		request: request, token: token, receivedAt: now, tenureCount: m.tenureCount, baselineMissing: baselineMissing,
 	})
 }
 
+// abandonEarlier marks the pending requests that a node sent before the given one.
+func (m *Machine) abandonEarlier(request UpdateRequest) {
+	for index, pending := range m.pending {
+		earlier := pending.request
+		isSameRun := earlier.Node == request.Node && earlier.Incarnation == request.Incarnation
+		if isSameRun && earlier.RequestNumber < request.RequestNumber {
+			m.pending[index].abandoned = true
+		}
+	}
+}
+
 func (m *Machine) processRequest(request UpdateRequest, now time.Duration) {
 	m.coverage.countLapses(m.grantor.LapseCount(now))
 	delayed := m.trackIncarnation(request)
@@ -64,25 +79,49 @@
 
 // Flush returns the replies that are due. These are the replies to requests that have an
 // update or have reached the poll timeout, and to requests whose baseline is missing. If
-// this node is not the primary, every pending request gets a reply.
-func (m *Machine) Flush(isPrimary bool, wallNanos int64, now time.Duration) []Reply {
+// this node is not the primary, every pending request gets a reply. A reply with a snapshot
+// waits while the links are busy with earlier ones.
+func (m *Machine) Flush(isPrimary bool, links Links, wallNanos int64, now time.Duration) []Reply {
+	window := newSendWindow(links)
 	var replies []Reply
 	var waiting []pendingRequest
 	for _, pending := range m.pending {
-		if isPrimary && !m.isBaselineMissing(pending) && m.mayWait(pending, wallNanos, now) {
+		update, due := m.reply(pending, isPrimary, &window, wallNanos, now)
+		if due {
+			replies = append(replies, Reply{Token: pending.token, Update: update})
+		} else {
 			waiting = append(waiting, pending)
-			continue
 		}
-		update := Update{FromPrimary: isPrimary, Record: m.record, PrimaryTime: wallNanos, QueuedFor: now - pending.receivedAt}
-		if isPrimary {
-			m.fillUpdate(&update, pending, wallNanos, now)
-		}
-		replies = append(replies, Reply{Token: pending.token, Update: update})
 	}
 	m.pending = waiting
 	return replies
 }
 
+// reply returns the reply to a request, and whether it is due.
+func (m *Machine) reply(pending pendingRequest, isPrimary bool, window *sendWindow, wallNanos int64, now time.Duration) (Update, bool) {
+	update := Update{FromPrimary: isPrimary, Record: m.record, PrimaryTime: wallNanos, QueuedFor: now - pending.receivedAt}
+	if !isPrimary {
+		return update, true
+	}
+	if pending.abandoned {
+		return Update{Record: m.record}, true
+	}
+	if !m.isBaselineMissing(pending) && m.mayWait(pending, wallNanos, now) {
+		return Update{}, false
+	}
+	if needsSnapshot := m.needsSnapshot(pending); needsSnapshot && !window.admits(pending.request) {
+		return Update{}, false
+	}
+	m.fillUpdate(&update, pending, wallNanos, now)
+	window.reserve(update)
+	return update, true
+}
+
+// needsSnapshot reports whether the reply to a request carries a snapshot.
+func (m *Machine) needsSnapshot(pending pendingRequest) bool {
+	return !m.isBaselineMissing(pending) && pending.request.Version.IsBefore(m.snapshot.Version)
+}
+
 // isBaselineMissing reports whether this tenure lacks reports of the requesting node,
 // because the request left them out or was received by the previous tenure.
 func (m *Machine) isBaselineMissing(pending pendingRequest) bool {
