Let a call wait on while its reply arrives

Found while looking for the same cause elsewhere: a reply that a link does not carry within the time-out of its call is dropped when it is complete, and asked for again, for ever.

Change: a call whose time-out ends amid a message from that address waits on for as long as bytes arrive, checked each 250 ms, for 5 s at most.

--- a/internal/transport/rpc/call.go
+++ b/internal/transport/rpc/call.go
@@ -25,12 +25,26 @@
 	address  string
 }
 
+const (
+	// transferCheckInterval is how often a call that has reached its timeout checks whether
+	// more bytes have arrived.
+	transferCheckInterval = 250 * time.Millisecond
+	// maxTransferTime is the longest time by which arriving bytes extend a call.
+	maxTransferTime = 5 * time.Second
+)
+
 // Call sends a request and waits for the reply. The error is ErrUnreachable, or
-// ErrTimeout if no reply arrives within timeout or before the hub's workers stop.
+// ErrTimeout if no reply arrives within timeout or before the hub's workers stop. A call
+// whose timeout ends while a message is arriving waits on for as long as bytes arrive, and
+// for maxTransferTime at most. Otherwise a reply that a slow link does not carry within the
+// timeout would be sent again and again, and never received.
 func (h *Hub) Call(address string, body any, timeout time.Duration) (any, error) {
 	id, response := h.addCall(address)
 	h.sendTo(address, Envelope{From: h.name, Version: ProtocolVersion, ID: id, Body: body})
 	envelope, received := worker.ReceiveWithin(h.workers, response, timeout)
+	if !received {
+		envelope, received = h.awaitTransfer(address, response)
+	}
 	if !received {
 		h.removeCall(id)
 		return nil, errors.Annotatef(ErrTimeout, "%s", address)
@@ -41,6 +55,34 @@
 	return envelope.Body, nil
 }
 
+// awaitTransfer waits for a reply while a message arrives from an address.
+func (h *Hub) awaitTransfer(address string, response chan Envelope) (Envelope, bool) {
+	previous := int64(-1)
+	for waited := time.Duration(0); waited < maxTransferTime; waited += h.transferCheckInterval {
+		arrived, arriving := h.arrivedFrom(address)
+		if !arriving || arrived == previous {
+			break
+		}
+		previous = arrived
+		if envelope, received := worker.ReceiveWithin(h.workers, response, h.transferCheckInterval); received {
+			return envelope, true
+		}
+	}
+	return worker.TryReceive(response)
+}
+
+// arrivedFrom returns the number of bytes that have arrived on the connection to an address,
+// and whether they end in an incomplete message.
+func (h *Hub) arrivedFrom(address string) (arrived int64, arriving bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	link, found := h.links[address]
+	if !found || link.peer == nil {
+		return 0, false
+	}
+	return link.peer.arrivedBytes.Load(), link.peer.arriving.Load()
+}
+
 func (h *Hub) addCall(address string) (uint64, chan Envelope) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/transport/rpc/hub.go
+++ b/internal/transport/rpc/hub.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -45,6 +46,8 @@
 	handler   Handler
 	inbox     *worker.Pool[inboundMessage]
 	bulk      bulkEncoder
+	// transferCheckInterval is the constant of that name, except in tests.
+	transferCheckInterval time.Duration
 
 	// queues holds the writeQueue of each connection by its *nbio.Conn, and queuedBytes
 	// the sum of their lengths.
@@ -78,6 +81,8 @@
 		links:    map[string]*outboundLink{},
 		inbound:  map[string]*writeQueue{},
 		pending:  map[uint64]pendingCall{},
+
+		transferCheckInterval: transferCheckInterval,
 	}
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		h.localHost = host
@@ -126,6 +131,7 @@
 	if !ok {
 		return
 	}
+	from.arrivedBytes.Add(int64(len(data)))
 	if len(from.unparsed) > 0 {
 		data = append(from.unparsed, data...)
 	}
@@ -137,6 +143,7 @@
 	}
 	// The rest is copied because the event loop reuses the buffer of data.
 	from.unparsed = append([]byte(nil), rest...)
+	from.arriving.Store(len(rest) > 0)
 }
 
 // receiveFrames receives the complete frames at the start of data and returns the
--- a/internal/transport/rpc/peer.go
+++ b/internal/transport/rpc/peer.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
@@ -44,10 +45,13 @@
 	outBuffer bytes.Buffer
 	encoder   *gob.Encoder
 
-	// unparsed is the start of a frame that has not arrived completely.
-	unparsed []byte
-	inBuffer bytes.Buffer
-	decoder  *gob.Decoder
+	// unparsed is the start of a frame that has not arrived completely. arriving is true if
+	// there is one, and arrivedBytes counts the bytes that have arrived.
+	unparsed     []byte
+	arriving     atomic.Bool
+	arrivedBytes atomic.Int64
+	inBuffer     bytes.Buffer
+	decoder      *gob.Decoder
 }
 
 func newPeer(conn *nbio.Conn, queue *writeQueue, bulk *bulkEncoder, counters *worker.Counters) *peer {
