Play CR and LF in texts, and answers sent twice, by the platform's stand-ins

Change: the stand-ins end a line at CR LF only; clients may put CR and LF into keys, data, values, names and shapes; both may write a message in two parts; instances may send an answer again up to 60 ms later. Three scenarios: line-ends, repeat, repeat-crash. No logic changed.

--- a/test/linehistory/history.go
+++ b/test/linehistory/history.go
@@ -160,8 +160,10 @@
 	// QuietSpans are the spans without any fault other than planned maintenance.
 	QuietSpans   []Span
 	ClosedFaults []ClosedFault
-	End          time.Duration
-	Bounds       Bounds
+	// RepeatedAnswers is the number of answers that instances sent a second time.
+	RepeatedAnswers int
+	End             time.Duration
+	Bounds          Bounds
 }
 
 func (h History) queriesByID() map[string]Query {
--- a/test/linehistory/statements.go
+++ b/test/linehistory/statements.go
@@ -16,7 +16,7 @@
 		query, sent := queries[execution.ID]
 		matches := sent && execution.Act == query.Act && execution.Text == query.Text && execution.Shape == query.Shape && execution.Rest == query.Rest
 		if !matches {
-			found.add("%s ran %s %q %q %q as %s, for which the client sent %q", execution.Instance, execution.Act, execution.Text, execution.Shape, execution.Rest, execution.ID, query.Text)
+			found.add("%s ran %s %q %q %q as %s at %d ms, for which the client sent %q", execution.Instance, execution.Act, execution.Text, execution.Shape, execution.Rest, execution.ID, execution.At.Milliseconds(), query.Text)
 		}
 	}
 	for service, log := range h.Logs {
@@ -54,7 +54,7 @@
 		}
 		execution, executed := executions[answerKey{query.ID, query.Stamp}]
 		if !executed || !slices.Equal(execution.Rows, query.Rows) {
-			found.add("%s was answered with stamp %q and rows %q, but its execution returned %q", query.ID, query.Stamp, query.Rows, execution.Rows)
+			found.add("%s was answered at %d ms with stamp %q and rows %q, but its execution returned %q", query.ID, query.Answered.Milliseconds(), query.Stamp, query.Rows, execution.Rows)
 		}
 	}
 	return found
--- a/test/platforme2e/run.go
+++ b/test/platforme2e/run.go
@@ -140,12 +140,16 @@
 	return process
 }
 
-// StartLoad starts the clients and assigns them to routes and zones in rotation.
-func (r *Run) StartLoad(seed uint64) {
+// StartLoad starts the clients and assigns them to routes and zones in rotation. If
+// adjust is not nil, it changes the mix of each client.
+func (r *Run) StartLoad(seed uint64, adjust func(*platformstandin.Mix)) {
 	clients, routes := platformstandin.NewClients(r.loadGroup, r.Platform, r.History), r.Routes()
 	for number := range sessionCount {
 		mix := mixes[routes[number%len(routes)].Kind]
 		mix.Route, mix.Zone = routes[number%len(routes)], zones[number/len(routes)%len(zones)]
+		if adjust != nil {
+			adjust(&mix)
+		}
 		clients.Add(mix, seed, uint64(number))
 	}
 }
--- a/test/platforme2e/runner.go
+++ b/test/platforme2e/runner.go
@@ -43,7 +43,7 @@
 
 // play runs a scenario under load and returns the history.
 func (r *Run) play(scenario Scenario, seed uint64) linehistory.History {
-	r.StartLoad(seed)
+	r.StartLoad(seed, scenario.AdjustMix)
 	r.AwaitService("at the start", serviceTimeout)
 	startedAt := r.group.Now()
 	scenario.Run(r)
--- a/test/platforme2e/scenario.go
+++ b/test/platforme2e/scenario.go
@@ -1,6 +1,10 @@
 package platforme2e
 
-import "time"
+import (
+	"time"
+
+	"tansyseam/test/platformstandin"
+)
 
 // Scenario subjects a fleet under load to a fault or a change.
 type Scenario struct {
@@ -9,6 +13,8 @@
 	// FaultFree is true if the scenario injects no faults and only performs planned
 	// operations.
 	FaultFree bool
+	// AdjustMix, if given, changes the mix of operations of each client.
+	AdjustMix func(*platformstandin.Mix)
 }
 
 // Scenarios returns the scenarios in platform mode, in the order in which they run.
@@ -31,6 +37,9 @@
 		},
 		{Name: "change", Description: "configurations replaced, sent concurrently, outdated and invalid", FaultFree: true, Run: runChange},
 		{Name: "lose", Description: "answers lost after execution, and statements refused as busy", Run: runLostAnswers},
+		{Name: "line-ends", Description: "CR and LF inside texts and rows, and writes split at any byte", FaultFree: true, Run: runLineEnds, AdjustMix: addLineEnds},
+		{Name: "repeat", Description: "instances send answers twice, the second time up to 60 ms later", Run: runRepeatedAnswers},
+		{Name: "repeat-crash", Description: "instances send answers twice while a primary crashes and restarts", Run: runRepeatedAnswersAndCrash},
 	}
 }
 
--- a/test/platformstandin/client.go
+++ b/test/platformstandin/client.go
@@ -21,6 +21,10 @@
 	WriteShare, TransactionShare float64
 	// ThinkTime is the mean time between operations.
 	ThinkTime time.Duration
+	// LineEndShare is the share of texts that contain characters of the line end.
+	LineEndShare float64
+	// SplitsWrites is true if each query is written in two parts.
+	SplitsWrites bool
 }
 
 // disconnectAfterOperationShare is the share of operations after which a client
@@ -56,6 +60,7 @@
 	reader           *bufio.Reader
 	session          string
 	values           map[string]string
+	preparedName     string
 	preparedText     string
 	queryCount       int
 	transactionCount int
@@ -106,7 +111,7 @@
 	c.values, c.preparedText = nil, ""
 	_ = conn.SetDeadline(time.Now().Add(connectTimeout))
 	_, _ = conn.Write([]byte("CONNECT " + c.mix.Host + " " + c.name + "\r\n"))
-	line, err := c.reader.ReadString('\n')
+	line, err := readLine(c.reader)
 	if err == nil && strings.HasPrefix(line, "READY I ") {
 		return true
 	}
--- a/test/platformstandin/client_operations.go
+++ b/test/platformstandin/client_operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"tansyseam/test/linehistory"
@@ -49,7 +50,7 @@
 // prepareShare. It returns false if a query failed.
 func (c *client) setUpSessionState() bool {
 	if c.values == nil && c.random.Float64() < setShare {
-		value := c.session
+		value := c.vary(c.session)
 		if answered := c.query(linehistory.Query{}, "SET app "+value); !succeeded(answered) {
 			c.closeSession(true)
 			return false
@@ -57,24 +58,42 @@
 		c.values = map[string]string{"app": value}
 	}
 	if c.preparedText == "" && c.random.Float64() < prepareShare {
-		text := "FETCH q" + fmt.Sprint(c.random.IntN(5))
-		if answered := c.query(linehistory.Query{}, "PREPARE s1 "+text); !succeeded(answered) {
+		name, text := c.vary("s1"), "FETCH "+c.vary("q"+fmt.Sprint(c.random.IntN(5)))
+		if answered := c.query(linehistory.Query{}, "PREPARE "+name+" "+text); !succeeded(answered) {
 			c.closeSession(true)
 			return false
 		}
-		c.preparedText = text
+		c.preparedName, c.preparedText = name, text
 	}
 	return true
 }
 
-func (c *client) randomKey() string { return fmt.Sprintf("t%d", c.random.IntN(40)) }
+// vary returns a text, with characters of the line end for the mix's share of texts.
+// Blanks in it are replaced, because they would divide the fields of a message.
+func (c *client) vary(text string) string {
+	if c.mix.LineEndShare == 0 || c.random.Float64() >= c.mix.LineEndShare {
+		return text
+	}
+	return strings.ReplaceAll(withLineEnds(text, c.random), " ", "_")
+}
+
+// varyData is like vary for a text that extends to the end of the message, in which
+// blanks are allowed.
+func (c *client) varyData(text string) string {
+	if c.mix.LineEndShare == 0 || c.random.Float64() >= c.mix.LineEndShare {
+		return text
+	}
+	return withLineEnds(text, c.random)
+}
+
+func (c *client) randomKey() string { return c.vary(fmt.Sprintf("t%d", c.random.IntN(40))) }
 
 // read runs one read. It reports whether to retry.
 func (c *client) read() bool {
 	query, text := linehistory.Query{Act: linehistory.ActRead}, "FETCH "+c.randomKey()
 	if c.preparedText != "" && c.random.Float64() < runPreparedShare {
 		query.Shape, query.Rest = c.preparedText, " "+c.randomKey()
-		text = "RUN s1" + query.Rest
+		text = "RUN " + c.preparedName + query.Rest
 	}
 	answered := c.query(query, text)
 	return !succeeded(answered)
@@ -82,7 +101,7 @@
 
 // write runs one write. It reports whether to retry.
 func (c *client) write() bool {
-	answered := c.query(linehistory.Query{Act: linehistory.ActWrite}, fmt.Sprintf("PUT %s %s.%d  é", c.randomKey(), c.session, c.queryCount))
+	answered := c.query(linehistory.Query{Act: linehistory.ActWrite}, "PUT "+c.randomKey()+" "+c.varyData(fmt.Sprintf("%s.%d  é", c.session, c.queryCount)))
 	return linehistory.PromisesNoEffect(answered.Code)
 }
 
@@ -102,7 +121,7 @@
 		query := linehistory.Query{Act: linehistory.ActRead, Transaction: transaction, Began: began, First: index == 0}
 		text := "FETCH " + c.randomKey()
 		if !readOnly && index > 0 {
-			query.Act, text = linehistory.ActWrite, fmt.Sprintf("PUT %s %s.%d", c.randomKey(), c.session, c.queryCount)
+			query.Act, text = linehistory.ActWrite, "PUT "+c.randomKey()+" "+c.varyData(fmt.Sprintf("%s.%d", c.session, c.queryCount))
 		}
 		answered := c.query(query, text)
 		if answered.Cut {
--- a/test/platformstandin/client_query.go
+++ b/test/platformstandin/client_query.go
@@ -24,7 +24,7 @@
 		query.Text = text
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(answerTimeout))
-	_, err := c.conn.Write([]byte("QUERY " + query.ID + " " + text + "\r\n"))
+	err := c.send("QUERY " + query.ID + " " + text + lineEnd)
 	complete := false
 	if err == nil {
 		complete, err = c.readAnswer(&query)
@@ -37,15 +37,24 @@
 	return query
 }
 
+// send writes a message, in two parts if the client splits its writes.
+func (c *client) send(message string) error {
+	if c.mix.SplitsWrites {
+		return writeSplit(c.conn, []byte(message), c.random, c.clients.group.Stopping())
+	}
+	_, err := c.conn.Write([]byte(message))
+	return err
+}
+
 // readAnswer reads lines up to the READY line. complete is true if a DONE or
 // ERROR line, which ends an answer, was among the lines read.
 func (c *client) readAnswer(query *linehistory.Query) (complete bool, err error) {
 	for {
-		line, err := c.reader.ReadString('\n')
+		line, err := readLine(c.reader)
 		if err != nil {
 			return complete, err
 		}
-		keyword, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
+		keyword, rest, _ := strings.Cut(line, " ")
 		if parse, found := answerParsers[keyword]; found {
 			complete = parse(query, rest) || complete
 		}
--- a/test/platformstandin/instance.go
+++ b/test/platformstandin/instance.go
@@ -36,6 +36,10 @@
 	// Faults.
 	answersToLose, statementsToRefuse int
 	busyUntil                         time.Duration
+	// repeatedShare is the share of answers that the instance sends twice, the
+	// second time up to repetitionDelay later.
+	repeatedShare   float64
+	repetitionDelay time.Duration
 
 	// Heartbeats. heartbeatTarget is the address that the last answer named.
 	leaveAcknowledgedAt time.Duration
@@ -109,6 +113,23 @@
 	i.service.withLock(func() { i.statementsToRefuse = count })
 }
 
+// RepeatAnswers makes the instance send a share of its answers again on the same
+// connection, after a random time of up to maxDelay. With a share of 0 it sends each
+// answer once.
+func (i *Instance) RepeatAnswers(share float64, maxDelay time.Duration) {
+	i.service.withLock(func() { i.repeatedShare, i.repetitionDelay = share, maxDelay })
+}
+
+// drawRepetition draws whether an answer is sent again, and after which time.
+func (i *Instance) drawRepetition() (repeated bool, delay time.Duration) {
+	i.service.withLock(func() {
+		if i.repeatedShare > 0 && i.service.random.Float64() < i.repeatedShare {
+			repeated, delay = true, time.Duration(i.service.random.Int64N(int64(i.repetitionDelay)+1))
+		}
+	})
+	return repeated, delay
+}
+
 // Drain makes the instance report that it is draining.
 func (i *Instance) Drain() {
 	i.service.withLock(func() {
--- a/test/platformstandin/service.go
+++ b/test/platformstandin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -38,11 +39,32 @@
 	instances  []*Instance
 	stampCount int
 	primary    *Instance
+	// random draws the repetitions of answers, and the divisions of split writes.
+	random *rand.Rand
+	// splitsWrites is true if each answer is written in two parts.
+	splitsWrites bool
 }
 
 // NewService returns a service without instances.
 func NewService(group *worker.Group, history *History, config ServiceConfig) *Service {
-	return &Service{ServiceConfig: config, group: group, history: history}
+	return &Service{ServiceConfig: config, group: group, history: history, random: rand.New(rand.NewPCG(randomSeed, 0))}
+}
+
+// randomSeed is the seed of a service's random choices.
+const randomSeed = 1
+
+// SplitWrites makes the instances write each further answer in two parts.
+func (s *Service) SplitWrites() { s.withLock(func() { s.splitsWrites = true }) }
+
+// newRandom returns a source of random numbers for one split write, or nil if writes
+// are not split.
+func (s *Service) newRandom() (random *rand.Rand) {
+	s.withLock(func() {
+		if s.splitsWrites {
+			random = rand.New(rand.NewPCG(s.random.Uint64(), 0))
+		}
+	})
+	return random
 }
 
 // withLock calls f while it holds the service's lock.
--- a/test/platformstandin/session.go
+++ b/test/platformstandin/session.go
@@ -6,7 +6,10 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
+	"time"
 
+	"tansyseam/internal/transport/worker"
 	"tansyseam/test/linehistory"
 )
 
@@ -19,10 +22,13 @@
 
 const maxLineBuffer = 64 << 10
 
-// session is one connection to an instance. It is used by one goroutine.
+// session is one connection to an instance. It is used by one goroutine. Others only
+// write repeated answers.
 type session struct {
-	instance         *Instance
-	connection       net.Conn
+	instance   *Instance
+	connection net.Conn
+	// writing is held while an answer is written, so that answers do not interleave.
+	writing          sync.Mutex
 	name             string
 	connected        bool
 	values           map[string]string
@@ -55,7 +61,7 @@
 func (c *session) serve() {
 	reader := bufio.NewReaderSize(c.connection, maxLineBuffer)
 	for {
-		line, err := reader.ReadString('\n')
+		line, err := readLine(reader)
 		if err != nil {
 			return
 		}
@@ -64,7 +70,7 @@
 		if hung {
 			continue
 		}
-		name, arguments, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
+		name, arguments, _ := strings.Cut(line, " ")
 		command, found := commands[name]
 		if !found || (!c.connected && name != "CONNECT") {
 			c.write("ERROR MALFORMED")
@@ -76,10 +82,38 @@
 	}
 }
 
-// write writes lines. It returns false if writing to the connection failed.
+// write writes the lines of an answer, and writes them again later if the instance
+// repeats this answer. It returns false if writing to the connection failed.
 func (c *session) write(lines ...string) bool {
-	_, err := c.connection.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
-	return err == nil
+	answer := []byte(strings.Join(lines, lineEnd) + lineEnd)
+	repeated, delay := c.instance.drawRepetition()
+	if repeated {
+		c.instance.service.group.Go(func() { c.repeat(answer, delay) })
+	}
+	return c.writeAnswer(answer)
+}
+
+// repeat writes an answer again after a delay.
+func (c *session) repeat(answer []byte, delay time.Duration) {
+	s := c.instance.service
+	if worker.Await(s.group.Stopping(), delay) {
+		return
+	}
+	if c.writeAnswer(answer) {
+		s.history.Update(func(h *linehistory.History) { h.RepeatedAnswers++ })
+	}
+}
+
+func (c *session) writeAnswer(answer []byte) bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	s := c.instance.service
+	random := s.newRandom()
+	if random == nil {
+		_, err := c.connection.Write(answer)
+		return err == nil
+	}
+	return writeSplit(c.connection, answer, random, s.group.Stopping()) == nil
 }
 
 // readyLine returns the line that ends each answer.
