Count what tells the hypotheses on mixed answers apart

Cause: no counter told a line that ended inside a text from an answer that was sent twice, or from a connection that was reused too early.

Change: counters lone_line_feeds, stamps_repeated, results_of_other_kind, sent_before_answer and instance_errors_CODE; runs of real processes on the platform print them. A connection remembers the stamps of a second for it; nothing is decided by them. The fuzz test's connection gets a server, which counts.

--- a/internal/app/lineproxy/proxy.go
+++ b/internal/app/lineproxy/proxy.go
@@ -32,6 +32,9 @@
 	liveNamesMaxAge = 250 * time.Millisecond
 )
 
+// gaugeLoneLineFeeds is the gauge of the LF characters that were received inside texts.
+const gaugeLoneLineFeeds = "lone_line_feeds"
+
 // Proxy is the state of the line proxy.
 type Proxy struct {
 	node    *node.Node
@@ -69,6 +72,7 @@
 	}
 	p.control = p.newControlClient()
 	p.server = lineserver.NewServer(n.Workers, cfg.LineAddress, lineproto.MaxLineBytes, p.acceptClient)
+	n.AddGauge(gaugeLoneLineFeeds, p.server.LoneLineFeeds)
 	n.ForwardUpdateRequests(forwardTimeout)
 	p.adminAPI().Register()
 	return p
--- a/internal/coordination/pool/linepool/answer.go
+++ b/internal/coordination/pool/linepool/answer.go
@@ -57,7 +57,8 @@
 	}
 }
 
-func (m *Machine) onResult(conn *Conn, attempt *requestAttempt, message lineproto.Message, _ time.Duration) {
+func (m *Machine) onResult(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
+	m.countResult(conn, attempt, message, now)
 	if attempt != nil {
 		attempt.result, attempt.hasResult = message, true
 		return
@@ -68,6 +69,25 @@
 	}
 }
 
+// countResult counts errors by code, and results that cannot be those of the statement
+// which waits for them.
+func (m *Machine) countResult(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
+	if message.Kind == lineproto.KindError {
+		m.Count("instance_errors_"+message.Code.String(), 1)
+		return
+	}
+	stamped := message.Payload != lineproto.NoStamp
+	if attempt != nil && attempt.statementSent != stamped {
+		m.Count("results_of_other_kind", 1)
+	}
+	if stamped && conn.history.contains(message.Payload) {
+		m.Count("stamps_repeated", 1)
+	}
+	if stamped {
+		conn.history.add(message.Payload, now)
+	}
+}
+
 // onReady handles the last message of an answer.
 func (m *Machine) onReady(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
 	instance := conn.instance
--- a/internal/coordination/pool/linepool/client.go
+++ b/internal/coordination/pool/linepool/client.go
@@ -184,7 +184,7 @@
 // respondDone answers a statement that the node has handled without an
 // instance.
 func (m *Machine) respondDone(client *Client) {
-	m.respond(client, lineproto.Message{Kind: lineproto.KindDone, Payload: "-"}, readyMessage(client, model.Position{}))
+	m.respond(client, lineproto.Message{Kind: lineproto.KindDone, Payload: lineproto.NoStamp}, readyMessage(client, model.Position{}))
 }
 
 func readyMessage(client *Client, position model.Position) lineproto.Message {
--- a/internal/coordination/pool/linepool/conn.go
+++ b/internal/coordination/pool/linepool/conn.go
@@ -50,6 +50,8 @@
 	idleSince time.Duration
 	// term is the writer term in which the open transaction began.
 	term uint64
+	// history holds the answers that the connection has delivered recently.
+	history answerHistory
 }
 
 // IsClosed reports whether the machine has closed the connection.
--- a/internal/coordination/pool/linepool/forward.go
+++ b/internal/coordination/pool/linepool/forward.go
@@ -60,6 +60,9 @@
 // send sends commands on a connection. The answer to the last one belongs to
 // attempt, which is nil for the node's own commands.
 func (m *Machine) send(conn *Conn, attempt *requestAttempt, commands []Command) {
+	if len(conn.pending) > 0 {
+		m.Count("sent_before_answer", 1)
+	}
 	for range len(commands) - 1 {
 		conn.pending = append(conn.pending, nil)
 	}
--- a/internal/state/lineproto/code.go
+++ b/internal/state/lineproto/code.go
@@ -36,6 +36,16 @@
 	CodeMalformed
 )
 
+var codeNames = map[Code]string{
+	CodeOther: "other", CodeBusy: "busy", CodeAborted: "aborted", CodeLagging: "lagging", CodeReadOnly: "read_only",
+	CodeWrongInstance: "wrong_instance", CodeTooManyConnections: "too_many_connections", CodeUnknownOutcome: "unknown_outcome",
+	CodeTimeout: "timeout", CodeFailed: "failed", CodeNotFound: "not_found", CodeUnknownDatabase: "unknown_database",
+	CodeTooMuchInput: "too_much_input", CodeMalformed: "malformed",
+}
+
+// String returns the name of the code in counters.
+func (c Code) String() string { return codeNames[c] }
+
 var noEffectCodes = map[Code]bool{
 	CodeBusy:               true,
 	CodeAborted:            true,
--- a/internal/state/lineproto/lineproto.go
+++ b/internal/state/lineproto/lineproto.go
@@ -42,6 +42,11 @@
 	StateFailed = byte('E')
 )
 
+// NoStamp is the payload of a done message without a stamp. It answers a query that has
+// only changed the session, while a read, a write or a commit is answered with a stamp of
+// its own.
+const NoStamp = "-"
+
 // Message is one line. The kind determines which fields are set.
 type Message struct {
 	Kind Kind
--- a/internal/transport/lineserver/conn.go
+++ b/internal/transport/lineserver/conn.go
@@ -98,7 +98,10 @@
 		data = append(c.partial, data...)
 		c.partial = nil
 	}
-	lines, rest := splitLines(data, c.maxLineLength)
+	lines, rest, loneLineFeeds := splitLines(data, c.maxLineLength)
+	if loneLineFeeds > 0 {
+		c.server.loneLineFeeds.Add(int64(loneLineFeeds))
+	}
 	if len(lines) > 0 {
 		c.handler.OnLines(lines)
 	}
@@ -112,14 +115,19 @@
 }
 
 // splitLines returns the complete lines at the start of data, up to the first line
-// that is too long, and the bytes after them.
-func splitLines(data []byte, maxLineLength int) (lines [][]byte, rest []byte) {
+// that is too long, and the bytes after them. loneLineFeeds is the number of lines that
+// end without a CR.
+func splitLines(data []byte, maxLineLength int) (lines [][]byte, rest []byte, loneLineFeeds int) {
 	for {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 || end > maxLineLength {
-			return lines, data
+			return lines, data, loneLineFeeds
+		}
+		line, hasCR := bytes.CutSuffix(data[:end], []byte{'\r'})
+		if !hasCR {
+			loneLineFeeds++
 		}
-		lines = append(lines, bytes.TrimSuffix(data[:end], []byte{'\r'}))
+		lines = append(lines, line)
 		data = data[end+1:]
 	}
 }
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -38,6 +38,8 @@
 	accepted atomic.Int64
 	// sending is the number of connections in a graceful close that have bytes to send.
 	sending atomic.Int64
+	// loneLineFeeds is the number of received LF characters without a CR before them.
+	loneLineFeeds atomic.Int64
 }
 
 // NewServer returns a server for an address, which Start opens. With an empty
@@ -69,6 +71,10 @@
 // were closed before the bytes were sent.
 func (s *Server) UnsentAtClose() int64 { return s.unsentAtClose.Load() }
 
+// LoneLineFeeds returns the number of LF characters that were received without a CR before
+// them.
+func (s *Server) LoneLineFeeds() int64 { return s.loneLineFeeds.Load() }
+
 // Accepted returns the number of accepted connections that are open, or in a graceful
 // close.
 func (s *Server) Accepted() int { return int(s.accepted.Load()) }
--- a/internal/transport/lineserver/server_test.go
+++ b/internal/transport/lineserver/server_test.go
@@ -357,7 +357,7 @@
 	f.Fuzz(func(t *testing.T, data, cuts []byte) {
 		split := func(cuts []byte) []string {
 			recorder := newRecorder()
-			conn := &Conn{handler: recorder, maxLineLength: 1 << 20}
+			conn := &Conn{server: &Server{}, handler: recorder, maxLineLength: 1 << 20}
 			rest := data
 			for chunkIndex := 0; len(rest) > 0; chunkIndex++ {
 				size := len(rest)
--- a/test/e2e/fleet_api.go
+++ b/test/e2e/fleet_api.go
@@ -46,6 +46,19 @@
 	return nil
 }
 
+// FetchCounters returns the counters and gauges of a process by name.
+func FetchCounters(client *http.Client, process *Process) (map[string]int64, error) {
+	_, raw, err := postJSON(client, process.HTTPAddress, "/v1/counters", struct{}{})
+	if err != nil {
+		return nil, err
+	}
+	var view struct {
+		Counters map[string]int64 `json:"counters"`
+	}
+	err = json.Unmarshal(raw, &view)
+	return view.Counters, err
+}
+
 type faultRequest struct {
 	Fault standin.Fault `json:"fault"`
 }
--- a/test/platforme2e/runner.go
+++ b/test/platforme2e/runner.go
@@ -31,6 +31,7 @@
 	}
 	defer r.Stop()
 	history := r.play(scenario, seed)
+	r.Logf("counters of the proxies: %s", r.proxyCounters())
 	result.Violations = linehistory.Violations(history)
 	r.CheckLogs(directory, slices.Concat(r.Proxies, r.Controls))
 	if len(r.Failures) > 0 {
