Show line ends inside texts and repeated answers in failing tests

Cause (to be fixed): a line ends at any LF; an answer belongs to the oldest statement that waits, whatever it says.

The linepool tests gave several answers of one connection the same stamp, which no instance does. done() appends a number that formatted messages leave out; all earlier expectations stay, and hold.

--- a/internal/coordination/pool/linepool/messages_test.go
+++ b/internal/coordination/pool/linepool/messages_test.go
@@ -1,13 +1,29 @@
 package linepool
 
 import (
+	"fmt"
 	"strings"
 
 	"tansyseam/internal/state/lineproto"
 )
 
+// lastStamp is the number of the last stamp in all tests.
+var lastStamp int
+
+// done returns the result of a statement. Instances give each answer a stamp of its own,
+// so done appends a number to a payload that is a stamp. Formatted messages do not
+// contain the number.
 func done(payload string) lineproto.Message {
-	return lineproto.Message{Kind: lineproto.KindDone, Payload: payload}
+	if payload == lineproto.NoStamp {
+		return lineproto.Message{Kind: lineproto.KindDone, Payload: payload}
+	}
+	lastStamp++
+	return lineproto.Message{Kind: lineproto.KindDone, Payload: fmt.Sprintf("%s#%d", payload, lastStamp)}
+}
+
+func formatDone(message lineproto.Message) string {
+	stamp, _, _ := strings.Cut(message.Payload, "#")
+	return "DONE " + stamp
 }
 
 func row(payload string) lineproto.Message {
@@ -32,7 +48,7 @@
 
 var messageFormats = map[lineproto.Kind]func(lineproto.Message) string{
 	lineproto.KindRow:   func(message lineproto.Message) string { return "ROW " + message.Payload },
-	lineproto.KindDone:  func(message lineproto.Message) string { return "DONE " + message.Payload },
+	lineproto.KindDone:  formatDone,
 	lineproto.KindError: func(message lineproto.Message) string { return "ERROR " + codeNames[message.Code] },
 	lineproto.KindReady: func(message lineproto.Message) string { return "READY " + string(message.State) },
 }
--- a/internal/coordination/pool/linepool/random_server_test.go
+++ b/internal/coordination/pool/linepool/random_server_test.go
@@ -22,6 +22,8 @@
 	hasWrites     bool
 	group         *writeGroup
 	accepted      bool
+	// outbox holds the messages of answers that have not arrived yet.
+	outbox []lineproto.Message
 	// sessionAtBegin is the session state at the beginning of the transaction.
 	sessionAtBegin *serverSession
 }
@@ -140,7 +142,7 @@
 	if commit {
 		s.commitAt(server)
 	} else if write {
-		server.write(pending.group)
+		s.writeAt(server, pending.group)
 	}
 	return []lineproto.Message{row("r" + command.ID), done(resultOf(command.ID))}
 }
@@ -177,6 +179,9 @@
 }
 
 func (s *simulation) commitAt(server *simulatedServer) {
+	if s.servesPositions {
+		s.logIndex++
+	}
 	if group := server.group; group != nil {
 		group.applied = server.hasWrites
 		if group.noEffectResponse != "" && server.hasWrites {
@@ -186,6 +191,14 @@
 	server.endTransaction()
 }
 
+// writeAt runs a write, which advances the position if it commits at once.
+func (s *simulation) writeAt(server *simulatedServer, single *writeGroup) {
+	if s.servesPositions && !server.inTransaction {
+		s.logIndex++
+	}
+	server.write(single)
+}
+
 // write counts a write for the open transaction, or applies it at once outside
 // a transaction. single is the group of the write alone.
 func (server *simulatedServer) write(single *writeGroup) {
--- a/internal/coordination/pool/linepool/random_test.go
+++ b/internal/coordination/pool/linepool/random_test.go
@@ -28,6 +28,12 @@
 	answered int
 	// violation is the first violation that was found, or empty.
 	violation string
+	// repeatsAnswers is true if servers send some of their answers twice. The messages
+	// of all answers then arrive one by one, with other events in between.
+	repeatsAnswers bool
+	repetitions    []repetition
+	// servesPositions is true if each commit advances the position of the servers.
+	servesPositions bool
 	// faultFree is true if servers accept all connections and run all commands.
 	faultFree bool
 }
@@ -167,6 +173,10 @@
 		refusal = pick(s, lineproto.CodeBusy, lineproto.CodeLagging, lineproto.CodeReadOnly, lineproto.CodeFailed)
 	}
 	messages := s.runNext(server, refusal)
+	if s.repeatsAnswers {
+		s.sendInParts(server, messages)
+		return
+	}
 	lostMidAnswer := !s.faultFree && s.chance(0.03)
 	if lostMidAnswer {
 		messages = messages[:s.random.IntN(len(messages))]
