End lines at CR LF only, so that CR and LF inside texts stay data

What callers saw: a statement whose text has an LF was cut off there, and the rest was read as a message of its own (UNASKED, even a forged QUERY); a row with an LF ended there, and the rest could be taken for a result (MIXED); a CR at the end of a text was dropped.

Cause: splitLines ended a line at any LF and dropped a CR before it, in both directions. The protocol ends lines at CR LF.

Ruled out: the platform's codec (TestLineEndsInsideMessages); early reuse of connections (sent_before_answer is 0).

Change: a line ends at the first CR LF, wherever the data is divided; bytes already searched are not searched again, and a growing incomplete line is no longer copied twice for each read.

Conclusion: fixed in the transport that all line connections share. A CR LF inside a text can't be told from the end of a line; the protocol has no way to write one.

--- a/internal/transport/lineserver/conn.go
+++ b/internal/transport/lineserver/conn.go
@@ -1,7 +1,6 @@
 package lineserver
 
 import (
-	"bytes"
 	"sync/atomic"
 	"time"
 
@@ -94,40 +93,26 @@
 	if c.closing.Load() {
 		return
 	}
+	searched, owned := 0, false
 	if len(c.partial) > 0 {
+		searched, owned = searchedBytes(c.partial), true
 		data = append(c.partial, data...)
 		c.partial = nil
 	}
-	lines, rest, loneLineFeeds := splitLines(data, c.maxLineLength)
-	if loneLineFeeds > 0 {
-		c.server.loneLineFeeds.Add(int64(loneLineFeeds))
-	}
+	lines, rest := splitLines(data, searched, c.maxLineLength)
 	if len(lines) > 0 {
+		c.server.countLoneLineFeeds(lines)
 		c.handler.OnLines(lines)
 	}
-	if len(rest) > c.maxLineLength {
+	if isTooLong(rest, c.maxLineLength) {
 		_ = c.raw.CloseWithError(ErrLineTooLong)
 		return
 	}
-	if len(rest) > 0 {
-		c.partial = append([]byte(nil), rest...)
+	if len(rest) == 0 {
+		return
 	}
-}
-
-// splitLines returns the complete lines at the start of data, up to the first line
-// that is too long, and the bytes after them. loneLineFeeds is the number of lines that
-// end without a CR.
-func splitLines(data []byte, maxLineLength int) (lines [][]byte, rest []byte, loneLineFeeds int) {
-	for {
-		end := bytes.IndexByte(data, '\n')
-		if end < 0 || end > maxLineLength {
-			return lines, data, loneLineFeeds
-		}
-		line, hasCR := bytes.CutSuffix(data[:end], []byte{'\r'})
-		if !hasCR {
-			loneLineFeeds++
-		}
-		lines = append(lines, line)
-		data = data[end+1:]
+	if !owned || len(lines) > 0 {
+		rest = append([]byte(nil), rest...)
 	}
+	c.partial = rest
 }
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -38,7 +38,7 @@
 	accepted atomic.Int64
 	// sending is the number of connections in a graceful close that have bytes to send.
 	sending atomic.Int64
-	// loneLineFeeds is the number of received LF characters without a CR before them.
+	// loneLineFeeds is the number of received LF characters inside lines.
 	loneLineFeeds atomic.Int64
 }
 
@@ -71,8 +71,7 @@
 // were closed before the bytes were sent.
 func (s *Server) UnsentAtClose() int64 { return s.unsentAtClose.Load() }
 
-// LoneLineFeeds returns the number of LF characters that were received without a CR before
-// them.
+// LoneLineFeeds returns the number of LF characters that were received inside lines.
 func (s *Server) LoneLineFeeds() int64 { return s.loneLineFeeds.Load() }
 
 // Accepted returns the number of accepted connections that are open, or in a graceful
