Accept an answer of an instance only if it is proven not to be a repetition

What callers saw, where instances send an answer again up to 60 ms later: answers of other statements (MIXED, from the first repetition on, until the connection was idle), a promise of no effect for a write that was committed (REFUSED), statements outside their transaction or in another's (PINNED, UNASKED), old positions (STALE).

Cause: an answer belonged to the oldest statement that waited on its connection; the order was the only proof. A message names no statement, so each repetition shifts all answers behind it, also in the hands of the next client.

Ruled out: reuse of a connection that owes an answer (sent_before_answer is 0).

Change (linepool/receive.go): messages are put together to answers for each connection; an answer counts only if it can't be a repetition. A success has a stamp that the connection hasn't delivered within the last second, and the state and position that its statement can leave. An error is the first one of its connection, which is closed after it. A BEGIN is acknowledged inside a transaction, at a position behind earlier acknowledgments of the last second; such connections are chosen for it. Repetitions that are recognized are dropped, in any state of a connection; what is neither proven nor a repetition closes the connection, as before. Other own commands prove nothing and nothing rests on their answers, since the instance keeps the order.

'An answer without a result' now has a position of its own: a ready message that repeats the handshake's is dropped.

--- a/internal/coordination/pool/linepool/answer.go
+++ b/internal/coordination/pool/linepool/answer.go
@@ -8,110 +8,6 @@
 	"tansyseam/internal/state/model"
 )
 
-// Received handles a message from an instance. Messages must be passed in the
-// order in which the instance sent them. A connection that delivers an
-// unexpected message is closed.
-func (m *Machine) Received(conn *Conn, message lineproto.Message, now time.Duration) {
-	if conn.state == connClosed {
-		return
-	}
-	if conn.state == connOpening {
-		m.onOpened(conn, message, now)
-		return
-	}
-	conn.instance.lastResponse, conn.instance.refusals = now, 0
-	if len(conn.pending) == 0 {
-		m.Count("answers_unasked", 1)
-		m.ConnLost(conn, now)
-		return
-	}
-	attempt := conn.pending[0]
-	handler, found := instanceMessageHandlers[message.Kind]
-	afterResult := attempt != nil && attempt.hasResult && message.Kind != lineproto.KindReady
-	if !found || afterResult {
-		m.closeMalformed(conn, now)
-		return
-	}
-	handler(m, conn, attempt, message, now)
-}
-
-func (m *Machine) closeMalformed(conn *Conn, now time.Duration) {
-	m.Count("answers_malformed", 1)
-	m.ConnLost(conn, now)
-}
-
-// instanceMessageHandler handles a message that belongs to an attempt, or to a
-// command of the node's own, for which attempt is nil.
-type instanceMessageHandler func(m *Machine, conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration)
-
-var instanceMessageHandlers = map[lineproto.Kind]instanceMessageHandler{
-	lineproto.KindRow:   (*Machine).onRow,
-	lineproto.KindDone:  (*Machine).onResult,
-	lineproto.KindError: (*Machine).onResult,
-	lineproto.KindReady: (*Machine).onReady,
-}
-
-func (m *Machine) onRow(_ *Conn, attempt *requestAttempt, message lineproto.Message, _ time.Duration) {
-	if attempt != nil {
-		attempt.rows = append(attempt.rows, message)
-	}
-}
-
-func (m *Machine) onResult(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
-	m.countResult(conn, attempt, message, now)
-	if attempt != nil {
-		attempt.result, attempt.hasResult = message, true
-		return
-	}
-	if message.Kind == lineproto.KindError {
-		m.Count("own_statements_failed", 1)
-		conn.dirty = true
-	}
-}
-
-// countResult counts errors by code, and results that cannot be those of the statement
-// which waits for them.
-func (m *Machine) countResult(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
-	if message.Kind == lineproto.KindError {
-		m.Count("instance_errors_"+message.Code.String(), 1)
-		return
-	}
-	stamped := message.Payload != lineproto.NoStamp
-	if attempt != nil && attempt.statementSent != stamped {
-		m.Count("results_of_other_kind", 1)
-	}
-	if stamped && conn.history.contains(message.Payload) {
-		m.Count("stamps_repeated", 1)
-	}
-	if stamped {
-		conn.history.add(message.Payload, now)
-	}
-}
-
-// onReady handles the last message of an answer.
-func (m *Machine) onReady(conn *Conn, attempt *requestAttempt, message lineproto.Message, now time.Duration) {
-	instance := conn.instance
-	conn.pending = conn.pending[1:]
-	instance.position = instance.position.Max(message.Position)
-	if attempt == nil {
-		m.onOwnCommandAnswered(conn, message, now)
-		return
-	}
-	if !attempt.hasResult {
-		m.closeMalformed(conn, now)
-		return
-	}
-	if !attempt.statementSent {
-		m.onBeginAnswered(attempt, message, now)
-		return
-	}
-	conn.attempt = nil
-	m.samplePrimaryPosition(attempt, message.Position, now)
-	m.recordOutcome(attempt, now)
-	m.complete(attempt, message, now)
-	m.dispatch(instance.database, now)
-}
-
 // onOwnCommandAnswered makes a connection idle after the answer to the last of
 // the node's own commands, unless a client's statement has been sent after it.
 func (m *Machine) onOwnCommandAnswered(conn *Conn, ready lineproto.Message, now time.Duration) {
@@ -121,27 +17,49 @@
 	}
 }
 
-// onBeginAnswered handles the answer to the BEGIN command of a transaction. If
-// the transaction has begun, it sends the transaction's first statement.
-func (m *Machine) onBeginAnswered(attempt *requestAttempt, ready lineproto.Message, now time.Duration) {
+// onBegun handles the acknowledgment of the BEGIN command of a transaction. It sends the
+// transaction's first statement, unless the transaction has ended meanwhile.
+func (m *Machine) onBegun(attempt *requestAttempt, ready lineproto.Message, now time.Duration) {
 	request, conn := attempt.request, attempt.conn
-	began := attempt.result.Kind == lineproto.KindDone && ready.State == lineproto.StateInTransaction
-	current := attempt.isCurrent()
-	if began && current {
-		attempt.hasResult, attempt.statementSent = false, true
-		attempt.rows, attempt.sentAt = nil, now
-		m.send(conn, attempt, []Command{statementCommand(request, conn, model.Position{})})
+	if !attempt.isCurrent() {
+		m.releaseBegin(attempt, ready, now)
 		return
 	}
-	conn.attempt, conn.owner = nil, nil
-	conn.instance.window.Release(flowcontrol.Rejected, 0)
+	attempt.statementSent, attempt.sentAt = true, now
+	m.send(conn, attempt, []Command{statementCommand(request, conn, model.Position{})})
+}
+
+// onBeginRefused handles an error in answer to the BEGIN command of a transaction, whose
+// first statement is then queued again.
+func (m *Machine) onBeginRefused(attempt *requestAttempt, ready lineproto.Message, now time.Duration) {
+	request, current := attempt.request, attempt.isCurrent()
 	m.markLagging(attempt, now)
-	m.Count("begins_refused", 1)
-	m.releaseInState(conn, ready.State, now)
 	if current {
 		request.transaction.conn = nil
+	}
+	m.releaseBegin(attempt, ready, now)
+	if current {
 		m.requeueAfterRefusal(request, attempt.result.Code, now)
 	}
+	m.dispatch(attempt.conn.instance.database, now)
+}
+
+// releaseBegin ends an attempt whose statement was not sent.
+func (m *Machine) releaseBegin(attempt *requestAttempt, ready lineproto.Message, now time.Duration) {
+	conn := attempt.conn
+	conn.attempt, conn.owner = nil, nil
+	conn.instance.window.Release(flowcontrol.Rejected, 0)
+	m.Count("begins_refused", 1)
+	m.releaseInState(conn, ready.State, now)
+}
+
+// completeStatement handles the answer to a statement that was sent.
+func (m *Machine) completeStatement(attempt *requestAttempt, ready lineproto.Message, now time.Duration) {
+	conn := attempt.conn
+	conn.attempt = nil
+	m.samplePrimaryPosition(attempt, ready.Position, now)
+	m.recordOutcome(attempt, now)
+	m.complete(attempt, ready, now)
 	m.dispatch(conn.instance.database, now)
 }
 
@@ -199,7 +117,6 @@
 	failed := attempt.isError()
 	if request.commit || ready.State == lineproto.StateIdle {
 		request.transaction.conn, conn.owner = nil, nil
-		conn.dirty = conn.dirty || (failed && conn.sessionChanged)
 		m.releaseInState(conn, ready.State, now)
 		client.transaction, client.state = nil, lineproto.StateIdle
 		return
@@ -217,9 +134,6 @@
 func (m *Machine) completeWithError(attempt *requestAttempt, now time.Duration) {
 	request, code := attempt.request, attempt.result.Code
 	m.markLagging(attempt, now)
-	if code == lineproto.CodeNotFound {
-		attempt.conn.dirty = true
-	}
 	if attempt.isRetryable() {
 		m.retry(attempt, now)
 		return
--- a/internal/coordination/pool/linepool/conn.go
+++ b/internal/coordination/pool/linepool/conn.go
@@ -6,6 +6,7 @@
 
 	"tansyseam/internal/coordination/flowcontrol"
 	"tansyseam/internal/state/lineproto"
+	"tansyseam/internal/state/model"
 )
 
 type connState int
@@ -50,8 +51,20 @@
 	idleSince time.Duration
 	// term is the writer term in which the open transaction began.
 	term uint64
-	// history holds the answers that the connection has delivered recently.
-	history answerHistory
+	// incoming is the answer that has arrived in part.
+	incoming answer
+	// history holds the answers that the connection has delivered recently, and
+	// position the highest position in them.
+	history  answerHistory
+	position model.Position
+	// begun describes the acknowledgments inside transactions.
+	begun beginRecord
+	// acknowledged is true if the connection has delivered an answer without a stamp.
+	// failed is true if it has delivered an error.
+	acknowledged, failed bool
+	// repeatedReady is true if the result of a repeated answer was dropped, and its
+	// ready message may follow.
+	repeatedReady bool
 }
 
 // IsClosed reports whether the machine has closed the connection.
@@ -91,7 +104,7 @@
 	}
 	m.Count("connections_opened", 1)
 	instance.backoff.Succeed()
-	instance.position = instance.position.Max(message.Position)
+	conn.record(answer{}, message, now)
 	conn.state = connBusy
 	m.release(conn, now)
 	m.dispatch(instance.database, now)
@@ -112,8 +125,9 @@
 }
 
 // release makes a connection idle. It closes the connection instead if the
-// instance has stopped, if it is draining and not the primary, or if the node
-// has more connections than its quota.
+// instance has stopped, if it is draining and not the primary, if the node
+// has more connections than its quota, or if the connection has delivered an error,
+// which could be sent again.
 func (m *Machine) release(conn *Conn, now time.Duration) {
 	if conn.state == connClosed {
 		return
@@ -121,7 +135,7 @@
 	instance := conn.instance
 	conn.state, conn.attempt = connIdle, nil
 	draining := instance.drainingSince != 0 && !m.isPrimary(instance)
-	if draining || instance.info.Stopped || len(instance.conns) > instance.quota.MaxOpen {
+	if draining || instance.info.Stopped || conn.failed || len(instance.conns) > instance.quota.MaxOpen {
 		m.closeConn(conn, now)
 		return
 	}
--- a/internal/coordination/pool/linepool/dispatch.go
+++ b/internal/coordination/pool/linepool/dispatch.go
@@ -77,6 +77,7 @@
 	if !open || !m.Routing().MayWrite(database.name, writer.Term, now) || m.isDrainOver(primary, now) {
 		return
 	}
+	waitingBegins := 0
 	for _, request := range slices.Clone(database.primaryQueue) {
 		if !primary.window.HasRoom() {
 			return
@@ -84,11 +85,16 @@
 		if !request.isReady(now) {
 			continue
 		}
-		conn := primary.takeIdle(request.client)
-		if conn == nil {
+		conn := primary.takeIdle(request, now)
+		if conn == nil && len(primary.idle) == 0 {
 			m.openConns(primary, len(database.primaryQueue), now)
 			return
 		}
+		if conn == nil {
+			waitingBegins++
+			m.openForBegins(primary, waitingBegins, now)
+			continue
+		}
 		request.term, request.minPosition = writer.Term, model.Position{}
 		m.forward(request, conn, now)
 	}
@@ -116,7 +122,11 @@
 	if instance == nil {
 		return false
 	}
-	conn := instance.takeIdle(request.client)
+	conn := instance.takeIdle(request, now)
+	if conn == nil && len(instance.idle) > 0 {
+		m.openForBegins(instance, 1, now)
+		return false
+	}
 	if conn == nil {
 		m.openConns(instance, len(database.readQueue), now)
 		return false
@@ -217,7 +227,7 @@
 	if instance == nil {
 		return
 	}
-	conn := instance.takeIdle(request.client)
+	conn := instance.takeIdle(request, now)
 	if conn == nil {
 		return
 	}
--- a/internal/coordination/pool/linepool/forward.go
+++ b/internal/coordination/pool/linepool/forward.go
@@ -15,7 +15,7 @@
 	database := m.database(request.binding.Database)
 	database.dequeue(request)
 	transaction := request.transaction
-	begins := transaction != nil && transaction.conn == nil
+	begins := request.begins()
 	commands := m.forwardCommands(request, conn, begins)
 	if begins {
 		conn.sessionChanged = false
@@ -63,6 +63,7 @@
 	if len(conn.pending) > 0 {
 		m.Count("sent_before_answer", 1)
 	}
+	conn.expectAnswer()
 	for range len(commands) - 1 {
 		conn.pending = append(conn.pending, nil)
 	}
--- a/internal/coordination/pool/linepool/instance.go
+++ b/internal/coordination/pool/linepool/instance.go
@@ -46,6 +46,9 @@
 	// was already draining when UpdateInstance first added it.
 	drainingSince time.Duration
 	position      model.Position
+	// maxRows is the highest number of rows in the instance's answers, by kind of
+	// statement.
+	maxRows [rowKindCount]int
 	// reportedLevel is the suspicion level at the last call of reportSuspects.
 	reportedLevel int
 }
@@ -184,13 +187,17 @@
 	return now - max(oldest, i.lastResponse)
 }
 
-// takeIdle removes an idle connection from the list and returns it, or nil if
-// there is none. It prefers a connection that has the client's session state,
-// and among those the one used last.
-func (i *instanceState) takeIdle(client *Client) *Conn {
+// takeIdle removes an idle connection that may serve a request from the list and
+// returns it, or nil if there is none. It prefers a connection that has the client's
+// session state, and among those the one used last.
+func (i *instanceState) takeIdle(request *Request, now time.Duration) *Conn {
 	best, bestMismatch := -1, mismatchNone
+	begins := request.begins()
 	for index, conn := range slices.Backward(i.idle) {
-		mismatch := sessionMismatch(conn, client)
+		if begins && !conn.mayBegin(now) {
+			continue
+		}
+		mismatch := sessionMismatch(conn, request.client)
 		if best < 0 || mismatch < bestMismatch {
 			best, bestMismatch = index, mismatch
 		}
@@ -205,3 +212,15 @@
 	i.idle = slices.Delete(i.idle, best, best+1)
 	return conn
 }
+
+// openForBegins opens connections for transactions that no idle connection may begin. If
+// the quota has no room, idle connections are closed for them.
+func (m *Machine) openForBegins(instance *instanceState, waiting int, now time.Duration) {
+	surplus := len(instance.conns) + waiting - instance.opening - instance.quota.MaxOpen
+	if instance.backoff.Over(now) {
+		for range min(surplus, len(instance.idle)) {
+			m.closeConn(instance.idle[0], now)
+		}
+	}
+	m.openConns(instance, waiting, now)
+}
--- /dev/null
+++ b/internal/coordination/pool/linepool/receive.go
@@ -0,0 +1,368 @@
+package linepool
+
+import (
+	"time"
+
+	"tansyseam/internal/state/lineproto"
+	"tansyseam/internal/state/model"
+)
+
+// answer holds the messages of one answer of an instance, up to its ready message.
+type answer struct {
+	// started is true once a message of the answer has arrived. requested is true if
+	// the instance owed an answer then.
+	started   bool
+	requested bool
+	// interrupted is true if rows of the answer were not kept, because the instance
+	// owed no answer when they arrived.
+	interrupted bool
+	rows        []lineproto.Message
+	result      lineproto.Message
+	hasResult   bool
+}
+
+// hasStamp reports whether the result has a stamp.
+func (a answer) hasStamp() bool {
+	return a.result.Kind == lineproto.KindDone && a.result.Payload != lineproto.NoStamp
+}
+
+// Received handles a message from an instance. Messages must be passed in the order in
+// which the instance sent them.
+//
+// No message names the statement that it answers, and an instance may send an answer
+// again, at any later time. An answer is therefore accepted only if it is proven not to
+// be a repetition:
+//   - The result of a statement has a stamp that the connection has not delivered
+//     before.
+//   - An error is the first one on its connection. The connection is closed once
+//     nothing uses it.
+//   - A BEGIN is acknowledged inside a transaction, at a position behind those of
+//     earlier acknowledgments.
+//   - The acknowledgments of other commands of the node's own prove nothing, and
+//     nothing rests on them: the instance runs commands in their order.
+//
+// A message that repeats one that the connection has delivered is dropped. Any other
+// message that nothing has requested, or that is not proven, closes the connection.
+func (m *Machine) Received(conn *Conn, message lineproto.Message, now time.Duration) {
+	if conn.state == connClosed {
+		return
+	}
+	if conn.state == connOpening {
+		m.onOpened(conn, message, now)
+		return
+	}
+	conn.instance.lastResponse, conn.instance.refusals = now, 0
+	handler, found := instanceMessageHandlers[message.Kind]
+	if !found {
+		m.closeMalformed(conn, now)
+		return
+	}
+	if !conn.incoming.started {
+		conn.incoming = answer{started: true, requested: len(conn.pending) > 0}
+	}
+	handler(m, conn, message, now)
+}
+
+var instanceMessageHandlers = map[lineproto.Kind]func(m *Machine, conn *Conn, message lineproto.Message, now time.Duration){
+	lineproto.KindRow:   (*Machine).onRow,
+	lineproto.KindDone:  (*Machine).onDone,
+	lineproto.KindError: (*Machine).onError,
+	lineproto.KindReady: (*Machine).onReady,
+}
+
+func (m *Machine) closeMalformed(conn *Conn, now time.Duration) {
+	m.Count("answers_malformed", 1)
+	m.ConnLost(conn, now)
+}
+
+func (m *Machine) closeUnasked(conn *Conn, now time.Duration) {
+	m.Count("answers_unasked", 1)
+	m.ConnLost(conn, now)
+}
+
+// closeUnproven closes a connection with an answer that may be a repetition.
+func (m *Machine) closeUnproven(conn *Conn, now time.Duration) {
+	m.Count("answers_unproven", 1)
+	m.ConnLost(conn, now)
+}
+
+func (m *Machine) onRow(conn *Conn, message lineproto.Message, now time.Duration) {
+	if conn.incoming.hasResult {
+		m.closeMalformed(conn, now)
+		return
+	}
+	if !conn.incoming.requested {
+		conn.incoming.interrupted = true
+		return
+	}
+	conn.incoming.rows = append(conn.incoming.rows, message)
+}
+
+func (m *Machine) onDone(conn *Conn, message lineproto.Message, now time.Duration) {
+	if message.Payload == lineproto.NoStamp {
+		m.onAcknowledgment(conn, message, now)
+		return
+	}
+	incoming := &conn.incoming
+	rows, repeated := conn.history.find(message.Payload)
+	if message.Payload == "" || incoming.hasResult || (repeated && !incoming.interrupted && rows != hashRows(incoming.rows)) {
+		m.closeMalformed(conn, now)
+		return
+	}
+	if repeated {
+		m.dropRepeated(conn)
+		return
+	}
+	incoming.result, incoming.hasResult = message, true
+}
+
+// dropRepeated drops the messages of an answer that the connection has delivered before.
+// Its ready message may follow.
+func (m *Machine) dropRepeated(conn *Conn) {
+	m.Count("answers_repeated", 1)
+	conn.incoming = answer{}
+	conn.repeatedReady = true
+}
+
+// onAcknowledgment handles a result without a stamp. It is dropped if no command waits
+// for one and another was received before, of which it may be a repetition.
+func (m *Machine) onAcknowledgment(conn *Conn, message lineproto.Message, now time.Duration) {
+	incoming := &conn.incoming
+	if conn.acknowledged && (!conn.awaitsAcknowledgment() || incoming.hasResult) {
+		m.Count("answers_repeated", 1)
+		conn.dropRepeatedResult()
+		return
+	}
+	if incoming.hasResult {
+		m.closeMalformed(conn, now)
+		return
+	}
+	incoming.result, incoming.hasResult = message, true
+}
+
+// dropRepeatedResult drops a result without a stamp. Its ready message may follow, unless
+// the result repeats that of the same answer. Rows that have arrived may belong to
+// the answer to come.
+func (c *Conn) dropRepeatedResult() {
+	if c.incoming.hasResult {
+		return
+	}
+	c.repeatedReady = true
+	if len(c.incoming.rows) == 0 {
+		c.incoming = answer{}
+	}
+}
+
+// expectAnswer prepares for the answer to commands that are sent now. Rows that arrived
+// before do not belong to it.
+func (c *Conn) expectAnswer() {
+	if c.incoming.started && !c.incoming.hasResult {
+		c.incoming = answer{started: true, requested: true, interrupted: true}
+	}
+}
+
+// awaitsAcknowledgment reports whether the next answer that the instance owes is that to
+// a command which is acknowledged without a stamp.
+func (c *Conn) awaitsAcknowledgment() bool {
+	return len(c.pending) > 0 && (c.pending[0] == nil || !c.pending[0].statementSent)
+}
+
+func (m *Machine) onError(conn *Conn, message lineproto.Message, now time.Duration) {
+	m.Count("instance_errors_"+message.Code.String(), 1)
+	incoming := &conn.incoming
+	if incoming.hasResult {
+		m.closeMalformed(conn, now)
+		return
+	}
+	if !incoming.requested {
+		m.closeUnasked(conn, now)
+		return
+	}
+	if conn.failed {
+		m.closeUnproven(conn, now)
+		return
+	}
+	incoming.result, incoming.hasResult = message, true
+}
+
+// onReady handles the last message of an answer.
+func (m *Machine) onReady(conn *Conn, message lineproto.Message, now time.Duration) {
+	received := conn.incoming
+	if !received.hasResult {
+		m.onReadyAlone(conn, message, now)
+		return
+	}
+	conn.incoming = answer{}
+	if !received.requested {
+		m.closeUnasked(conn, now)
+		return
+	}
+	if received.result.Kind == lineproto.KindError {
+		m.onFailed(conn, received, message, now)
+		return
+	}
+	if !received.hasStamp() {
+		m.onAcknowledged(conn, received, message, now)
+		return
+	}
+	m.onStamped(conn, received, message, now)
+}
+
+// onReadyAlone handles a ready message without a result. It is dropped if it may be a
+// repetition: of the handshake's answer, or of the end of another answer.
+func (m *Machine) onReadyAlone(conn *Conn, message lineproto.Message, now time.Duration) {
+	if !conn.repeatedReady && !conn.history.hasReady(message) {
+		m.closeMalformed(conn, now)
+		return
+	}
+	conn.repeatedReady = false
+	if len(conn.incoming.rows) == 0 {
+		conn.incoming = answer{}
+	}
+}
+
+// onStamped handles a complete answer with a stamp. It answers the statement that waits:
+// the connection has not delivered the stamp before, and the instance owes no other one.
+func (m *Machine) onStamped(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
+	attempt := conn.sentStatement()
+	if attempt == nil {
+		m.closeUnasked(conn, now)
+		return
+	}
+	if !conn.isProven(attempt, received, ready) {
+		m.closeUnproven(conn, now)
+		return
+	}
+	conn.pending = conn.pending[:0]
+	m.acceptAnswer(conn, attempt, received, ready, now)
+	m.completeStatement(attempt, ready, now)
+}
+
+// sentStatement returns the attempt whose statement waits for its answer, or nil.
+func (c *Conn) sentStatement() *requestAttempt {
+	if len(c.pending) == 0 {
+		return nil
+	}
+	attempt := c.pending[len(c.pending)-1]
+	if attempt == nil || !attempt.statementSent {
+		return nil
+	}
+	return attempt
+}
+
+// isProven reports whether the rows and the ready message beside a new stamp belong to
+// it. They do not if the state or the position of the session is not one that it can
+// have after the statement. If the rows are more than the instance has ever returned, and
+// the connection has delivered the first of them before, that one may be a repetition.
+func (c *Conn) isProven(attempt *requestAttempt, received answer, ready lineproto.Message) bool {
+	request := attempt.request
+	expectedState := lineproto.StateIdle
+	if request.transaction != nil && !request.commit {
+		expectedState = lineproto.StateInTransaction
+	}
+	if ready.State != expectedState || ready.Position.IsBefore(c.position) {
+		return false
+	}
+	return len(received.rows) <= c.instance.maxRows[request.rowKind()] || !c.history.hasFirstRow(received.rows[0])
+}
+
+// acceptAnswer records an answer that belongs to an attempt.
+func (m *Machine) acceptAnswer(conn *Conn, attempt *requestAttempt, received answer, ready lineproto.Message, now time.Duration) {
+	instance, kind := conn.instance, attempt.request.rowKind()
+	instance.maxRows[kind] = max(instance.maxRows[kind], len(received.rows))
+	attempt.rows, attempt.result = received.rows, received.result
+	conn.record(received, ready, now)
+}
+
+// onFailed handles a complete answer with an error, which is the first on its connection.
+func (m *Machine) onFailed(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
+	conn.failed = true
+	attempt := conn.popPending()
+	conn.record(received, ready, now)
+	if attempt == nil {
+		m.Count("own_statements_failed", 1)
+		m.onOwnCommandAnswered(conn, ready, now)
+		return
+	}
+	attempt.rows, attempt.result = received.rows, received.result
+	if !attempt.statementSent {
+		m.onBeginRefused(attempt, ready, now)
+		return
+	}
+	m.completeStatement(attempt, ready, now)
+}
+
+// onAcknowledged handles a complete answer without a stamp. It is dropped if the session
+// is not in the state that the command leaves, since it may then be a repetition.
+func (m *Machine) onAcknowledged(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
+	if !conn.awaitsAcknowledgment() {
+		m.closeMalformed(conn, now)
+		return
+	}
+	attempt := conn.pending[0]
+	begins := attempt != nil
+	endsTransaction := attempt == nil && conn.attempt == nil
+	inTransaction := ready.State == lineproto.StateInTransaction
+	if conn.acknowledged && ((begins && !inTransaction) || (endsTransaction && ready.State != lineproto.StateIdle)) {
+		m.Count("answers_repeated", 1)
+		return
+	}
+	if begins && !inTransaction {
+		m.closeMalformed(conn, now)
+		return
+	}
+	if begins && !conn.isBeginProven(ready, now) {
+		m.closeUnproven(conn, now)
+		return
+	}
+	conn.popPending()
+	conn.acknowledged = true
+	conn.record(received, ready, now)
+	if inTransaction {
+		conn.begun = beginRecord{position: conn.begun.position.Max(ready.Position), at: now}
+	}
+	if begins {
+		m.onBegun(attempt, ready, now)
+		return
+	}
+	m.onOwnCommandAnswered(conn, ready, now)
+}
+
+// popPending removes the oldest answer that the instance owes, and returns the attempt
+// that it belongs to, or nil for a command of the node's own.
+func (c *Conn) popPending() *requestAttempt {
+	attempt := c.pending[0]
+	kept := copy(c.pending, c.pending[1:])
+	c.pending = c.pending[:kept]
+	return attempt
+}
+
+// record remembers an accepted answer.
+func (c *Conn) record(received answer, ready lineproto.Message, now time.Duration) {
+	c.position = c.position.Max(ready.Position)
+	c.instance.position = c.instance.position.Max(ready.Position)
+	c.history.add(received, ready, now)
+}
+
+// beginRecord describes the acknowledgments inside transactions that a connection has
+// delivered: the highest position, and the time of the last one.
+type beginRecord struct {
+	position model.Position
+	at       time.Duration
+}
+
+// mayRepeat reports whether an acknowledgment inside a transaction, at a position, may be
+// the repetition of an earlier one.
+func (b beginRecord) mayRepeat(position model.Position, now time.Duration) bool {
+	return b.at != 0 && now-b.at <= repetitionWindow && !b.position.IsBefore(position)
+}
+
+func (c *Conn) isBeginProven(ready lineproto.Message, now time.Duration) bool {
+	return !c.begun.mayRepeat(ready.Position, now)
+}
+
+// mayBegin reports whether the acknowledgment of a BEGIN on the connection can be told
+// from those of earlier transactions.
+func (c *Conn) mayBegin(now time.Duration) bool {
+	return !c.begun.mayRepeat(c.instance.position, now)
+}
--- a/internal/coordination/pool/linepool/request.go
+++ b/internal/coordination/pool/linepool/request.go
@@ -74,6 +74,23 @@
 	return request.write && request.transaction == nil
 }
 
+// kindOfRows is an index of instanceState.maxRows.
+type kindOfRows int
+
+const (
+	rowsOfRead kindOfRows = iota
+	rowsOfWrite
+	rowKindCount
+)
+
+// rowKind returns the index of the request's kind in instanceState.maxRows.
+func (request *Request) rowKind() kindOfRows {
+	if request.write || request.commit {
+		return rowsOfWrite
+	}
+	return rowsOfRead
+}
+
 // isSent reports whether the statement itself has been sent, rather than only
 // the BEGIN command before it.
 func (request *Request) isSent() bool {
@@ -83,6 +100,11 @@
 	return slices.ContainsFunc(request.attempts, func(attempt *requestAttempt) bool { return attempt.statementSent })
 }
 
+// begins reports whether sending the request begins its transaction at the instance.
+func (request *Request) begins() bool {
+	return request.transaction != nil && request.transaction.conn == nil
+}
+
 // isRetryableRead reports whether the statement is a read outside a
 // transaction, which may run more than once, or at two instances, without side
 // effects.
@@ -127,9 +149,9 @@
 	// statementSent is true if the statement itself has been sent, rather than
 	// only the BEGIN command before it.
 	statementSent bool
-	rows          []lineproto.Message
-	result        lineproto.Message
-	hasResult     bool
+	// rows and result are the answer, once the instance has answered.
+	rows   []lineproto.Message
+	result lineproto.Message
 }
 
 // isCurrent reports whether the request still waits for the attempt.
