Drop a repeated result that comes without its rows

Cause: a result that is sent again alone, without the rows before it, counted as an answer that conflicts with the recorded one, and closed its connection: the statement that waited was retried, aborted or ended with UNKNOWN.

Change: only rows that have arrived and differ conflict.

--- a/internal/coordination/pool/linepool/answer_repeated_test.go
+++ b/internal/coordination/pool/linepool/answer_repeated_test.go
@@ -97,6 +97,43 @@
 	})
 }
 
+func TestRepeatedLines(t *testing.T) {
+	// Guards against single lines of an answer that are sent again (MIXED).
+	Convey("A line that is sent again alone does not become a part of the next answer", t, func() {
+		for _, line := range []int{0, 1, 2} {
+			for _, beforeNext := range []bool{true, false} {
+				h := newHarness(1)
+				first, second := h.client("strict"), h.client("strict")
+				h.query(first, read("1"))
+				conn, answer := h.answerInFull([]lineproto.Message{row("r1"), done("s1")})
+				if beforeNext {
+					h.receive(conn, answer[line])
+				}
+				h.query(second, read("2"))
+				if !beforeNext {
+					h.receive(conn, answer[line])
+				}
+				h.receive(conn, row("r2"), done("s2"), h.readyIn(lineproto.StateIdle))
+				if conn.IsClosed() {
+					h.answerSend(h.nextSend(), lineproto.StateIdle, row("r2"), done("s2"))
+				}
+				So(h.lastResponse(second), ShouldEqual, "ROW r2 / DONE s2 / READY I")
+				So(h.invariantViolation(), ShouldEqual, "")
+			}
+		}
+	})
+	Convey("Rows that conflict with a repeated result close the connection", t, func() {
+		h := newHarness(1)
+		first, second := h.client("strict"), h.client("strict")
+		h.query(first, read("1"))
+		conn, answer := h.answerInFull([]lineproto.Message{row("r1"), done("s1")})
+		h.query(second, write("2"))
+		h.receive(conn, row("r2"), answer[1])
+		So(conn.IsClosed(), ShouldBeTrue)
+		So(h.lastResponse(second), ShouldEqual, "ERROR UNKNOWN / READY I")
+	})
+}
+
 func TestRepeatedAnswersInTransactions(t *testing.T) {
 	// Guards against repeated answers in transactions (MIXED), and against statements
 	// that run outside their transaction because an earlier BEGIN was acknowledged twice
--- a/internal/coordination/pool/linepool/receive.go
+++ b/internal/coordination/pool/linepool/receive.go
@@ -105,7 +105,7 @@
 	}
 	incoming := &conn.incoming
 	rows, repeated := conn.history.find(message.Payload)
-	if message.Payload == "" || incoming.hasResult || (repeated && !incoming.interrupted && rows != hashRows(incoming.rows)) {
+	if message.Payload == "" || incoming.hasResult || (repeated && incoming.conflictsWith(rows)) {
 		m.closeMalformed(conn, now)
 		return
 	}
@@ -116,6 +116,12 @@
 	incoming.result, incoming.hasResult = message, true
 }
 
+// conflictsWith reports whether rows have arrived that are not those before a repeated
+// result, of which the hash is given. They may belong to another answer.
+func (a *answer) conflictsWith(rows uint64) bool {
+	return len(a.rows) > 0 && !a.interrupted && hashRows(a.rows) != rows
+}
+
 // dropRepeated drops the messages of an answer that the connection has delivered before.
 // Its ready message may follow.
 func (m *Machine) dropRepeated(conn *Conn) {
--- a/test/platforme2e/scenario_messages.go
+++ b/test/platforme2e/scenario_messages.go
@@ -59,6 +59,18 @@
 	r.repeatAnswers(0)
 }
 
+// runRepeatedLines is like runRepeatedAnswers, but single lines are sent again, and all
+// writes of the instances are split.
+func runRepeatedLines(r *Run) {
+	for _, service := range r.Services {
+		service.SplitWrites()
+		for _, instance := range service.Instances() {
+			instance.RepeatLines()
+		}
+	}
+	runRepeatedAnswers(r)
+}
+
 // runRepeatedAnswersAndCrash is like runRepeatedAnswers while a primary crashes, so that
 // transactions cannot begin.
 func runRepeatedAnswersAndCrash(r *Run) {
--- a/test/platformstandin/instance.go
+++ b/test/platformstandin/instance.go
@@ -40,6 +40,8 @@
 	// second time up to repetitionDelay later.
 	repeatedShare   float64
 	repetitionDelay time.Duration
+	// repeatsLines is true if only one line of a repeated answer is sent again.
+	repeatsLines bool
 
 	// Heartbeats. heartbeatTarget is the address that the last answer named.
 	leaveAcknowledgedAt time.Duration
@@ -120,14 +122,24 @@
 	i.service.withLock(func() { i.repeatedShare, i.repetitionDelay = share, maxDelay })
 }
 
-// drawRepetition draws whether an answer is sent again, and after which time.
-func (i *Instance) drawRepetition() (repeated bool, delay time.Duration) {
-	i.service.withLock(func() {
-		if i.repeatedShare > 0 && i.service.random.Float64() < i.repeatedShare {
-			repeated, delay = true, time.Duration(i.service.random.Int64N(int64(i.repetitionDelay)+1))
-		}
-	})
-	return repeated, delay
+// RepeatLines makes the instance send again only one line of each answer that it repeats.
+func (i *Instance) RepeatLines() { i.service.withLock(func() { i.repeatsLines = true }) }
+
+// drawRepetition draws which lines of an answer are sent again, if any, and after which
+// time.
+func (i *Instance) drawRepetition(lines []string) (repeated []string, delay time.Duration) {
+	s := i.service
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if i.repeatedShare == 0 || s.random.Float64() >= i.repeatedShare {
+		return nil, 0
+	}
+	delay = time.Duration(s.random.Int64N(int64(i.repetitionDelay) + 1))
+	if i.repeatsLines {
+		line := s.random.IntN(len(lines))
+		return lines[line : line+1], delay
+	}
+	return lines, delay
 }
 
 // Drain makes the instance report that it is draining.
--- a/test/platformstandin/session.go
+++ b/test/platformstandin/session.go
@@ -85,14 +85,14 @@
 // write writes the lines of an answer, and writes them again later if the instance
 // repeats this answer. It returns false if writing to the connection failed.
 func (c *session) write(lines ...string) bool {
-	answer := []byte(strings.Join(lines, lineEnd) + lineEnd)
-	repeated, delay := c.instance.drawRepetition()
-	if repeated {
-		c.instance.service.group.Go(func() { c.repeat(answer, delay) })
+	if repeated, delay := c.instance.drawRepetition(lines); repeated != nil {
+		c.instance.service.group.Go(func() { c.repeat(encodeLines(repeated), delay) })
 	}
-	return c.writeAnswer(answer)
+	return c.writeAnswer(encodeLines(lines))
 }
 
+func encodeLines(lines []string) []byte { return []byte(strings.Join(lines, lineEnd) + lineEnd) }
+
 // repeat writes an answer again after a delay.
 func (c *session) repeat(answer []byte, delay time.Duration) {
 	s := c.instance.service
