Ignore a repeated handshake response before the answer to an admin command

What was seen: in a test, an instance that sends the response to the connect message twice ended an admin command (STATUS, STEPDOWN) with 'no reply', though its answer followed. The command is then sent again later; a change of primary takes longer.

Cause: the class of the repeated answers: the second ready message on a connection counted as the end of the answer, whatever it ended.

Ruled out: answers of other commands. Each admin command has a connection of its own.

Change: a ready message ends the answer only after a row, a result or an error.

Evidence: two new cases of TestExchange, of which both failed before ('no reply' at once); all earlier cases hold.

Conclusion: fixed. An instance that answers a command with a ready message alone is now given up at the time-out, no longer at once.

--- a/internal/app/control/commands.go
+++ b/internal/app/control/commands.go
@@ -65,7 +65,9 @@
 	// connected is true once the instance has accepted the session. Later messages
 	// are responses to the command.
 	connected bool
-	// hasResult is true if reply was set from a status or an error.
+	// answered is true if a row, a done or an error message has arrived. hasResult is
+	// true if reply was set from a status or an error.
+	answered  bool
 	hasResult bool
 	reply     CommandReply
 }
@@ -88,12 +90,14 @@
 
 var exchangeHandlers = map[lineproto.Kind]func(*exchange, lineproto.Message){
 	lineproto.KindRow:   (*exchange).onRow,
+	lineproto.KindDone:  func(e *exchange, _ lineproto.Message) { e.answered = true },
 	lineproto.KindError: (*exchange).onError,
 	lineproto.KindReady: (*exchange).onReady,
 }
 
 func (e *exchange) onRow(message lineproto.Message) {
 	status, complete := e.codec.ParseStatus(message.Payload)
+	e.answered = true
 	e.hasResult = complete
 	e.reply = CommandReply{Role: status.Role, Term: status.Term, Position: status.Position}
 }
@@ -106,15 +110,17 @@
 	if !e.reply.Busy && !e.reply.Gone {
 		e.reply.Err = errors.Annotatef(ErrNoReply, "%s", message.Payload)
 	}
-	e.hasResult = true
+	e.answered, e.hasResult = true, true
 	if !e.connected {
 		// An instance that refuses the session does not send ready.
 		e.finish(e.reply)
 	}
 }
 
+// onReady handles the response to the connect message, which an instance may send again
+// before it answers the command, and the end of the answer to the command.
 func (e *exchange) onReady(lineproto.Message) {
-	if !e.connected {
+	if !e.connected || !e.answered {
 		e.connected = true
 		return
 	}
--- a/internal/app/control/commands_test.go
+++ b/internal/app/control/commands_test.go
@@ -83,6 +83,8 @@
 	{name: "busy in response to the command", lines: "ready/busy/ready", expected: CommandReply{Busy: true}},
 	{name: "busy in response to the command, without the final ready", lines: "ready/busy", unfinished: true},
 	{name: "a failure of the command", lines: "ready/failed/ready", noReply: true, reason: "no such command"},
+	{name: "the response to the connect message sent again before the reply", lines: "ready/ready/status/done/ready", expected: primaryReply},
+	{name: "the response to the connect message sent again, and nothing else", lines: "ready/ready/ready", unfinished: true},
 	{name: "more messages after the reply", lines: "busy/ready/status/ready", expected: CommandReply{Busy: true}},
 }
 
