Reject HTTP requests whose body has more than one end

What was seen: in a test, a request with two lengths, with a length and the chunked encoding, or with the length '+2' was run, and so was a request in what follows the end that the library chose. To another reader it is a part of the first one's body.

The library takes the first length, or the chunked encoding, and keeps the connection.

Ruled out: CR or LF inside headers and paths ends the connection and runs nothing; bodies with any content, divided at every third byte, end where their length says.

Change: such a request closes its connection, and nothing read behind it is run.

Evidence: TestEndsOfRequests; its last part failed before ('/smuggled' ran).

Conclusion: fixed for all HTTP servers of the programs.

--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -51,7 +51,7 @@
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp",
 		Addrs:   []string{address},
-		Handler: server.rejectWhileClosing(withContentLength(handler)),
+		Handler: rejectAmbiguousLength(server.rejectWhileClosing(withContentLength(handler))),
 		NPoller: serverPollers,
 		// The library's limit is above the limit of ReadBody, so that a request whose
 		// body is too large receives a response.
