Check that an HTTP response has the number of its request

What was seen: in a test, an instance of the product's own protocol that sends a response twice has the second one taken for the response to the next request.

Cause: the class of the repeated answers: HTTP responses name no request, and the client matches them by their order.

Ruled out: a response that arrives while no request waits is dropped by the library. Promote calls have a connection each. RPC replies carry the number of their call.

Change: each request to an instance has its number on the connection in the header Tansyseam-Request; a response with another number closes the connection, and the outcome is unknown. Without the header a response is taken in its order, as before.

Evidence: TestRepeatedResponses failed before ('/first' for '/second').

Conclusion: fixed for instances that return the header; of others nothing proves whose a response is. No run of real processes repeats HTTP responses yet.

--- a/internal/transport/httpserver/client.go
+++ b/internal/transport/httpserver/client.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,7 +25,8 @@
 	// effect.
 	ErrOutcomeUnknown = errors.ConstError("connection broken with a request in flight")
 
-	errNoResponse = errors.ConstError("no response in time")
+	errNoResponse    = errors.ConstError("no response in time")
+	errOtherResponse = errors.ConstError("response to another request")
 )
 
 const (
@@ -34,6 +36,10 @@
 	maxResponseSize = 16 << 20
 )
 
+// headerRequestNumber carries the number of a request on its connection. A server returns
+// it with the response, which proves to which request the response belongs.
+const headerRequestNumber = "Tansyseam-Request"
+
 // Client opens HTTP connections to instances, to the platform and to nodes.
 type Client struct {
 	engine  *nbhttp.Engine
@@ -70,6 +76,8 @@
 	conn    *nbhttp.ClientConn
 	mutex   sync.Mutex
 	closed  bool
+	// requestCount is the number of requests so far. It is guarded by the mutex.
+	requestCount uint64
 }
 
 // Dial opens a connection. If onClose is not nil, it is called when the connection is
@@ -110,19 +118,28 @@
 // Close closes the connection. It does not block.
 func (c *ClientConn) Close() { c.client.workers.Go(c.conn.Close) }
 
-// PostAsync sends a POST request with a JSON body. The client's event loop calls
-// done with the response; done must not block.
+// PostAsync sends a POST request with a JSON body and a request number. The client's event
+// loop calls done with the response; done must not block.
+//
+// HTTP responses name no request. If a server sends a response twice, the second one is
+// taken for the response to the next request. A response with another request number is
+// therefore an error of type ErrOutcomeUnknown, and closes the connection. A server that
+// returns no numbers cannot be checked.
 func (c *ClientConn) PostAsync(path string, body []byte, done func(Response)) {
-	c.start(postRequest(path, body), done)
+	c.start(c.postRequest(path, body), done)
 }
 
-// Post sends a POST request with a JSON body and waits for the response, as Send does.
+// Post sends a POST request as PostAsync does, and waits for the response as Send does.
 func (c *ClientConn) Post(path string, body []byte, timeout time.Duration) Response {
-	return c.Send(postRequest(path, body), timeout)
+	return c.Send(c.postRequest(path, body), timeout)
 }
 
-func postRequest(path string, body []byte) adapter.Request {
-	return adapter.Request{Method: http.MethodPost, Path: path, Body: body}
+func (c *ClientConn) postRequest(path string, body []byte) adapter.Request {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.requestCount++
+	number := strconv.FormatUint(c.requestCount, 10)
+	return adapter.Request{Method: http.MethodPost, Path: path, Header: map[string]string{headerRequestNumber: number}, Body: body}
 }
 
 // Send sends a request and waits for the response. If no response arrives within
@@ -154,10 +171,22 @@
 			done(Response{Err: errors.WithType(err, ErrOutcomeUnknown)})
 			return
 		}
+		if !answers(httpResponse, request) {
+			c.Close()
+			done(Response{Err: errors.WithType(errOtherResponse, ErrOutcomeUnknown)})
+			return
+		}
 		done(readResponse(httpResponse))
 	})
 }
 
+// answers reports whether a response may be that to a request: it has the request's
+// number, or the server returns none.
+func answers(httpResponse *http.Response, request adapter.Request) bool {
+	returned := httpResponse.Header.Get(headerRequestNumber)
+	return returned == "" || returned == request.Header[headerRequestNumber]
+}
+
 func readResponse(httpResponse *http.Response) Response {
 	if httpResponse.Body == nil {
 		return Response{Status: httpResponse.StatusCode}
--- a/test/standin/instance_request.go
+++ b/test/standin/instance_request.go
@@ -24,6 +24,9 @@
 	Fault    *Fault   `json:"fault"`
 }
 
+// headerRequestNumber carries the number of a request, which the response returns.
+const headerRequestNumber = "Tansyseam-Request"
+
 // maxRequestBytes is the maximum size of a request's body.
 const maxRequestBytes = 4 << 20
 
@@ -87,6 +90,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestNumber, r.Header.Get(headerRequestNumber))
 	data, _ := json.Marshal(answer.body)
 	w.WriteHeader(answer.status)
 	_, _ = w.Write(data)
