Close connections whose rollback the instance does not answer

Cause: only connections with an attempt were given up (maintainConns).

Change: a connection on which only a command of the node's own is unanswered is closed after AbandonedTimeout, as one with an abandoned attempt.

Evidence: the new case of TestRefusedConnections failed before and passes.

Conclusion: fixed.

--- a/internal/coordination/pool/linepool/answer.go
+++ b/internal/coordination/pool/linepool/answer.go
@@ -26,7 +26,7 @@
 		return
 	}
 	attempt.statementSent, attempt.sentAt = true, now
-	m.send(conn, attempt, []Command{statementCommand(request, conn, model.Position{})})
+	m.send(conn, attempt, []Command{statementCommand(request, conn, model.Position{})}, now)
 }
 
 // onBeginRefused handles an error in answer to the BEGIN command of a transaction, whose
--- a/internal/coordination/pool/linepool/conn.go
+++ b/internal/coordination/pool/linepool/conn.go
@@ -49,6 +49,8 @@
 	pending   []*requestAttempt
 	openedAt  time.Duration
 	idleSince time.Duration
+	// sentAt is the time at which the last commands were sent.
+	sentAt time.Duration
 	// term is the writer term in which the open transaction began.
 	term uint64
 	// incoming is the answer that has arrived in part.
@@ -243,9 +245,7 @@
 		if conn.state == connOpening && now-conn.openedAt > m.timing.OpenTimeout {
 			m.ConnLost(conn, now)
 		}
-		attempt := conn.attempt
-		abandoned := conn.state == connBusy && attempt != nil && attempt.abandoned
-		if abandoned && now-attempt.sentAt > m.timing.AbandonedTimeout {
+		if conn.isAbandoned() && now-conn.sentAt > m.timing.AbandonedTimeout {
 			m.closeConn(conn, now)
 		}
 	}
@@ -255,6 +255,12 @@
 	}
 }
 
+// isAbandoned reports whether answers are pending for which no client waits: those to an
+// abandoned attempt, or to a command of the node's own.
+func (c *Conn) isAbandoned() bool {
+	return c.state == connBusy && (c.attempt == nil || c.attempt.abandoned)
+}
+
 // closeDrainedConns closes the idle connections to an instance whose drain
 // window is over, and ends the transactions on its other connections.
 func (m *Machine) closeDrainedConns(instance *instanceState, now time.Duration) {
--- a/internal/coordination/pool/linepool/conn_test.go
+++ b/internal/coordination/pool/linepool/conn_test.go
@@ -122,6 +122,23 @@
 }
 
 func TestRefusedConnections(t *testing.T) {
+	Convey("A connection whose rollback is not answered is closed", t, func() {
+		h := newHarness(1)
+		client := h.client("strict")
+		h.query(client, begin())
+		h.query(client, read("1"))
+		h.answerSend(h.answerBegin(), lineproto.StateInTransaction, done("s"))
+		h.query(client, rollback())
+		unanswered := h.nextSend()
+		So(formatCommands(unanswered), ShouldEqual, "rollback")
+		h.advanceInTicks(h.timing.AbandonedTimeout - 100*time.Millisecond)
+		So(unanswered.Conn.IsClosed(), ShouldBeFalse)
+		h.advanceInTicks(200 * time.Millisecond)
+		So(unanswered.Conn.IsClosed(), ShouldBeTrue)
+		h.query(client, read("2"))
+		h.answerSend(h.nextSend(), lineproto.StateIdle, done("s2"))
+		So(h.lastResponse(client), ShouldEqual, "DONE s2 / READY I")
+	})
 	Convey("The backoff grows after each connection that the instance refuses in the handshake", t, func() {
 		h := newHarness(20)
 		h.manualOpen = true
--- a/internal/coordination/pool/linepool/forward.go
+++ b/internal/coordination/pool/linepool/forward.go
@@ -31,7 +31,7 @@
 	database.inFlight = append(database.inFlight, request)
 	m.Count("passed_on", 1)
 	m.Count("waited_us", (now - request.arrivedAt).Microseconds())
-	m.send(conn, attempt, commands)
+	m.send(conn, attempt, commands, now)
 }
 
 // forwardCommands returns the commands to send for a request: those for the
@@ -59,7 +59,7 @@
 
 // send sends commands on a connection. The answer to the last one belongs to
 // attempt, which is nil for the node's own commands.
-func (m *Machine) send(conn *Conn, attempt *requestAttempt, commands []Command) {
+func (m *Machine) send(conn *Conn, attempt *requestAttempt, commands []Command, now time.Duration) {
 	if len(conn.pending) > 0 {
 		m.Count("sent_before_answer", 1)
 	}
@@ -71,7 +71,7 @@
 	if conn.state == connIdle && attempt == nil {
 		conn.instance.removeIdle(conn)
 	}
-	conn.state, conn.attempt = connBusy, attempt
+	conn.state, conn.attempt, conn.sentAt = connBusy, attempt, now
 	m.Emit(Send{Conn: conn, Commands: commands})
 }
 
--- a/internal/coordination/pool/linepool/timing.go
+++ b/internal/coordination/pool/linepool/timing.go
@@ -22,8 +22,8 @@
 	// ClosingGrace is how long after its term was closed a primary may still
 	// answer the commits in flight.
 	ClosingGrace time.Duration
-	// AbandonedTimeout is the age of an abandoned attempt at which its
-	// connection is closed if the answer has not arrived.
+	// AbandonedTimeout is the age of an abandoned attempt, or of a command of the
+	// node's own, at which its connection is closed if the answer has not arrived.
 	AbandonedTimeout time.Duration
 	// IdleInTransaction is how long a transaction may be idle if the binding
 	// set has no limit.
--- a/internal/coordination/pool/linepool/transaction.go
+++ b/internal/coordination/pool/linepool/transaction.go
@@ -114,7 +114,7 @@
 		return
 	}
 	conn.dirty = conn.dirty || conn.sessionChanged
-	m.send(conn, nil, []Command{{Kind: CommandRollback}})
+	m.send(conn, nil, []Command{{Kind: CommandRollback}}, now)
 }
 
 // loseTransaction ends a transaction that cannot continue at its instance. The
