Repeat answers in the simulator, beside all its other faults

Cause: the simulator's instances sent each answer once, so its histories of failovers, lags and stops could not show what a repeated answer does there.

Change: the fault 'answers repeated' (30% of the answers of all instances again, up to 60 ms later); TestLinesRepeatedAnswers runs it beside crashes, lags, planned changes of primaries and resets.

--- a/test/simulation/lines_connection.go
+++ b/test/simulation/lines_connection.go
@@ -91,6 +91,18 @@
 	})
 }
 
+// deliverRepeated passes messages that the instance sends again to the node's pool. The
+// model of the window does not know them.
+func (c *lineConnection) deliverRepeated(messages ...lineproto.Message) {
+	c.sendToNode(func() {
+		c.node.step(func(now time.Duration) {
+			for _, message := range messages {
+				c.node.pool.Received(c.poolConnection, message, now)
+			}
+		})
+	})
+}
+
 // breakOff ends the connection from the instance's end.
 func (c *lineConnection) breakOff() {
 	c.sendToNode(func() {
--- a/test/simulation/lines_faults.go
+++ b/test/simulation/lines_faults.go
@@ -64,6 +64,7 @@
 	{"control disk slow", (*lineFleet).slowControlDisk},
 	{"drops", (*lineFleet).loseMessages},
 	{"links slow", (*lineFleet).slowLinks},
+	{"answers repeated", (*lineFleet).repeatAnswers},
 }
 
 // LineFaultNames returns the names of the kinds of faults of RunLines.
@@ -126,6 +127,7 @@
 
 func (i *lineInstance) repair() {
 	i.replicationDelay, i.serviceTime, i.answersToLose = defaultLineReplicationDelay, defaultLineServiceTime, 0
+	i.repeatsAnswers = false
 	i.thaw()
 	if !i.ended {
 		i.ensureRunning(i.start)
@@ -243,6 +245,13 @@
 	l.blockNode(isolated.name, peers, span)
 }
 
+// repeatAnswers makes all instances send some of their answers twice for a span.
+func (l *lineFleet) repeatAnswers(span time.Duration) {
+	for _, instance := range l.instances {
+		setFor(l.simulator, span, &instance.repeatsAnswers, true, false)
+	}
+}
+
 // delayPlatform delays calls to the platform for a span.
 func (l *lineFleet) delayPlatform(span time.Duration) {
 	setFor(l.simulator, span, &l.platform.delay, l.simulator.randomDuration(minPlatformDelay, maxPlatformDelay), 0)
--- a/test/simulation/lines_instance.go
+++ b/test/simulation/lines_instance.go
@@ -56,7 +56,9 @@
 	// ended is true once the instance has been removed for good.
 	ended bool
 	// answersToLose is the number of answers that a fault still loses.
-	answersToLose  int
+	answersToLose int
+	// repeatsAnswers is true while a fault makes the instance send answers twice.
+	repeatsAnswers bool
 	statementCount int
 }
 
--- a/test/simulation/lines_session.go
+++ b/test/simulation/lines_session.go
@@ -11,6 +11,10 @@
 
 const (
 	lineLostAnswerProbability = 0.3
+	// repeatedAnswerProbability is the probability that an instance which repeats
+	// answers sends an answer again, up to maxRepetitionDelay later.
+	repeatedAnswerProbability = 0.3
+	maxRepetitionDelay        = 60 * time.Millisecond
 	// discardProbability is the probability that an instance discards the
 	// queued commands of a session that its peer has closed. The
 	// instance draws at once, and then again after each peerCloseCheckDelay.
@@ -123,6 +127,16 @@
 		return
 	}
 	s.connection.deliverMessages(messages...)
+	if instance.repeatsAnswers && instance.simulator.chance(repeatedAnswerProbability) {
+		instance.after(instance.simulator.randomDuration(0, maxRepetitionDelay), func() { s.repeat(messages) })
+	}
+}
+
+// repeat sends an answer again.
+func (s *serverSession) repeat(messages []lineproto.Message) {
+	if !s.closed {
+		s.connection.deliverRepeated(messages...)
+	}
 }
 
 func doneMessage(payload string) lineproto.Message {
--- a/test/simulation/lines_test.go
+++ b/test/simulation/lines_test.go
@@ -57,6 +57,21 @@
 	})
 }
 
+func TestLinesRepeatedAnswers(t *testing.T) {
+	// Guards against repeated answers that are taken for those to other statements,
+	// while transactions cannot begin (MIXED, PINNED, REFUSED, STALE).
+	Convey("When instances send answers twice beside crashes, lags and planned changes of primaries, no rule is violated", t, func() {
+		onlyWithoutRace(t)
+		config := shortLines()
+		config.AllowedFaults = []string{"answers repeated", "answers repeated", "primary crash", "replica lag", "primary leaving", "connections reset"}
+		config.MaxFaultDuration, config.MaxFaultInterval = 4*time.Second, time.Second
+		for _, result := range runManyLines(1, 8, config, LineDefects{}) {
+			SoMsg(fmt.Sprintf("seed %d", result.Seed), result.Violations, ShouldBeEmpty)
+			So(result.Writes, ShouldBeGreaterThan, 300)
+		}
+	})
+}
+
 func TestLinesCrowded(t *testing.T) {
 	Convey("With more nodes than an instance accepts connections, all operations are served, and no query fails or loses its session", t, func() {
 		assertAllServedWithoutFaults(CrowdedLineConfig())
