--- a/internal/coordination/pool/linepool/doc.go
+++ b/internal/coordination/pool/linepool/doc.go
@@ -33,6 +33,9 @@
 //     connections.
 //   - A connection with an open transaction is used only by its owner.
 //
+// An answer of an instance names no statement, and may be sent again. Received accepts it
+// only if it is proven to be the first one of its kind on its connection.
+//
 // A statement that may commit something is not sent again once it may have run:
 // if its connection ends, its outcome is unknown.
 //
