Repeat answers with real processes in the product's own mode, and soak both kinds

Cause: the numbering of HTTP requests was shown by a unit test alone.

Change: the stand-in of the product's own protocol may send answers in sessions again (scenario repeat, in test.sh). The scenario messages-soak on the platform has CR and LF, repeated answers and lines beside crashes, restarts, stops and changes in series; it is started by hand.

--- a/test.sh
+++ b/test.sh
@@ -27,5 +27,5 @@
   found=$(go test -count=1 -timeout 5m -run "^($red)\$" -v ./... 2>&1 || true)
   grep -E '^--- (FAIL|PASS): ' <<<"$found" || true
 fi
-go run ./test/cmd/e2e -race -shape small -run calls,change,restart,primary-crash,primary-dark,control-kill,lose,settings,planted-kill,planted-unclean
+go run ./test/cmd/e2e -race -shape small -run calls,change,restart,primary-crash,primary-dark,control-kill,lose,settings,repeat,planted-kill,planted-unclean
 go run ./test/cmd/e2e -race -manner platform -run primary-crash,replace,stop,stop-busy,control-kill,control-replace,change,lose,line-ends,repeat,repeat-lines,repeat-crash
--- a/test/e2e/scenario.go
+++ b/test/e2e/scenario.go
@@ -42,6 +42,7 @@
 		{Name: "rush", Description: "eight times the callers' rate for 5 s", Run: runOverload, SettleTime: 14 * time.Second},
 		{Name: "slow", Description: "a primary and a replica ten times slower for 5 s", Run: runSlowInstances, SettleTime: 14 * time.Second},
 		{Name: "lose", Description: "answers lost after running, and sessions reset", Run: runLostAnswers, SettleTime: 2 * time.Second},
+		{Name: "repeat", Description: "instances send answers twice, the second time up to 60 ms later", Run: runRepeatedAnswers, SettleTime: 2 * time.Second},
 		{Name: "silent", Description: "a primary that answers but no longer announces", Run: runSilentPrimary, SettleTime: 2 * time.Second},
 		{
 			Name: "cut", Description: "a proxy cut off from the control primary, one way and both",
--- a/test/e2e/scenario_load.go
+++ b/test/e2e/scenario_load.go
@@ -41,3 +41,21 @@
 		r.Sleep(700 * time.Millisecond)
 	}
 }
+
+const (
+	// repeatedShare is the share of answers that instances send twice.
+	repeatedShare  = 0.3
+	repetitionTime = 4 * time.Second
+)
+
+// runRepeatedAnswers makes all instances send answers twice. It guards against responses
+// that are taken for those to other requests.
+func runRepeatedAnswers(r *Run) {
+	for _, instance := range r.Instances {
+		_ = r.SetFault(instance.Name, standin.Fault{RepeatedShare: pointerTo(repeatedShare)})
+	}
+	r.Sleep(repetitionTime)
+	for _, instance := range r.Instances {
+		_ = r.SetFault(instance.Name, standin.Fault{RepeatedShare: pointerTo(0.0)})
+	}
+}
--- a/test/platforme2e/scenario.go
+++ b/test/platforme2e/scenario.go
@@ -40,6 +40,10 @@
 		{Name: "line-ends", Description: "CR and LF inside texts and rows, and writes split at any byte", FaultFree: true, Run: runLineEnds, AdjustMix: addLineEnds},
 		{Name: "repeat", Description: "instances send answers twice, the second time up to 60 ms later", Run: runRepeatedAnswers},
 		{Name: "repeat-lines", Description: "instances send single lines of answers twice, and split their writes", Run: runRepeatedLines},
+		{
+			Name: "messages-soak", Description: "CR and LF in texts, answers and lines sent twice, beside crashes, restarts, stops and changes in series",
+			Run: runMessagesSoak, AdjustMix: addLineEnds,
+		},
 		{Name: "repeat-crash", Description: "instances send answers twice while a primary crashes and restarts", Run: runRepeatedAnswersAndCrash},
 	}
 }
--- a/test/platforme2e/scenario_messages.go
+++ b/test/platforme2e/scenario_messages.go
@@ -1,8 +1,10 @@
 package platforme2e
 
 import (
+	"syscall"
 	"time"
 
+	"tansyseam/test/e2e"
 	"tansyseam/test/platformstandin"
 )
 
@@ -80,3 +82,57 @@
 	r.busyGroup.Stop(stopTimeout)
 	r.repeatAnswers(0)
 }
+
+// soakRounds is the number of rounds of faults of a soak.
+const soakRounds = 3
+
+// runMessagesSoak repeats answers, and single lines of answers at one service, while
+// processes and instances are stopped and started, and the configuration changes.
+func runMessagesSoak(r *Run) {
+	for _, service := range r.Services {
+		service.SplitWrites()
+	}
+	for _, instance := range r.Services[1].Instances() {
+		instance.RepeatLines()
+	}
+	r.repeatAnswers(repeatedShare)
+	r.StartBusyLoad(contentionSessions, r.Services[0].Name)
+	for round := range soakRounds {
+		service := r.Services[round%len(r.Services)]
+		for _, instance := range service.Instances() {
+			instance.LoseAnswers(refusalsPerRound)
+			instance.RefuseStatements(refusalsPerRound)
+		}
+		proxy := r.Proxies[round%len(r.Proxies)]
+		proxy.Signal(syscall.SIGHUP)
+		r.ReplaceConfiguration(r.Routes(), round)
+		proxy.Signal(syscall.SIGTERM)
+		old := service.Primary()
+		old.Crash()
+		r.awaitPromotion(service, old, r.group.Now())
+		restart(old)
+		r.awaitExitAndRestart(proxy)
+		r.killAndRestartControl()
+	}
+	r.busyGroup.Stop(stopTimeout)
+	r.repeatAnswers(0)
+}
+
+// killAndRestartControl kills the control primary and restarts it at once. The role may
+// be vacant for a time after the faults before.
+func (r *Run) killAndRestartControl() {
+	var primary *e2e.Process
+	found := e2e.WaitUntil(serviceTimeout, func() bool {
+		primary = r.ControlPrimary()
+		return primary != nil
+	})
+	if !found {
+		r.Errorf("no control primary within %v", serviceTimeout)
+		return
+	}
+	primary.Kill()
+	if err := primary.Start(r.directory); err != nil {
+		r.Errorf("%v", err)
+	}
+	r.AwaitService("after the restart of "+primary.Name, serviceTimeout)
+}
--- a/test/standin/instance.go
+++ b/test/standin/instance.go
@@ -69,6 +69,8 @@
 	connectionsToReset int
 	silent             bool
 	misreportClean     bool
+	// repeatedShare is the share of answers in sessions that are sent again.
+	repeatedShare float64
 	// leavingSince is the time at which the instance began to announce that it
 	// is leaving, in Unix nanoseconds, or 0 if it is not leaving.
 	leavingSince     int64
@@ -94,7 +96,7 @@
 	go i.announceLoop(ctx)
 	go i.pullLoop(ctx)
 	go func() { <-ctx.Done(); _ = server.Close() }()
-	if err := server.Serve(listener); err != http.ErrServerClosed {
+	if err := server.Serve(&repeatingListener{Listener: listener, instance: i}); err != http.ErrServerClosed {
 		return err
 	}
 	return nil
--- a/test/standin/instance_admin.go
+++ b/test/standin/instance_admin.go
@@ -27,6 +27,9 @@
 	// MisreportClean makes the instance report every session as clean, even if
 	// the session has an open transaction, settings or prepared statements.
 	MisreportClean *bool `json:"lying,omitempty"`
+	// RepeatedShare is the share of answers in sessions that the instance sends
+	// again, up to 60 ms later.
+	RepeatedShare *float64 `json:"repeat,omitempty"`
 }
 
 // setIfGiven sets *to to *from, unless from is nil.
@@ -48,6 +51,7 @@
 	setIfGiven(fault.ResetConnections, &i.connectionsToReset)
 	setIfGiven(fault.Silent, &i.silent)
 	setIfGiven(fault.MisreportClean, &i.misreportClean)
+	setIfGiven(fault.RepeatedShare, &i.repeatedShare)
 	if fault.ReplicationDelayMS != nil {
 		i.replicationDelay = time.Duration(*fault.ReplicationDelayMS) * time.Millisecond
 	}
