--- a/internal/coordination/pool/linepool/receive.go
+++ b/internal/coordination/pool/linepool/receive.go
@@ -32,16 +32,18 @@
 // again, at any later time. An answer is therefore accepted only if it is proven not to
 // be a repetition:
 //   - The result of a statement has a stamp that the connection has not delivered
-//     before.
+//     within repetitionWindow. Older repetitions are not recognized.
 //   - An error is the first one on its connection. The connection is closed once
 //     nothing uses it.
-//   - A BEGIN is acknowledged inside a transaction, at a position behind those of
-//     earlier acknowledgments.
+//   - A BEGIN is acknowledged inside a transaction, at a later position than all
+//     acknowledgments inside transactions within repetitionWindow.
 //   - The acknowledgments of other commands of the node's own prove nothing, and
 //     nothing rests on them: the instance runs commands in their order.
 //
 // A message that repeats one that the connection has delivered is dropped. Any other
-// message that nothing has requested, or that is not proven, closes the connection.
+// message that nothing has requested, or that is not proven, closes the connection. A row
+// that is sent again alone is recognized only beside more rows than the instance has
+// returned before.
 func (m *Machine) Received(conn *Conn, message lineproto.Message, now time.Duration) {
 	if conn.state == connClosed {
 		return
