Forget an error only after a later statement has been answered

Cause: forgot errors by the clock. Where the process or the network stands still between an error and its repetition, here for 2.5 s, the clock proves nothing, and the repetition was taken for the answer to the next statement, whose own answer then met the one after.

Change: an error is forgotten once a statement that was sent more than a second after it has been answered: the connection delivers in order, so a repetition would have come before. Single writes avoid connections with errors until then. A connection with 16 different errors is closed.

--- a/internal/coordination/pool/linepool/answer_history.go
+++ b/internal/coordination/pool/linepool/answer_history.go
@@ -89,34 +89,38 @@
 	return h.current.firstRows[hash] || h.previous.firstRows[hash]
 }
 
+// maxErrors is the number of different errors after which a connection is not used again.
+const maxErrors = 16
+
 // errorRecord is an error that a connection has delivered.
 type errorRecord struct {
 	payload string
 	at      time.Duration
 }
 
-// errorHistory holds the errors that a connection has delivered within repetitionWindow,
-// in order, and some older ones.
+// errorHistory holds the errors of a connection that may still be repeated.
 type errorHistory struct{ records []errorRecord }
 
 func (h *errorHistory) add(payload string, now time.Duration) {
-	h.records = slices.DeleteFunc(h.records, func(record errorRecord) bool { return record.isOld(now) })
 	h.records = append(h.records, errorRecord{payload: payload, at: now})
 }
 
-func (r errorRecord) isOld(now time.Duration) bool { return now-r.at > repetitionWindow }
-
-// has reports whether the same error was delivered within repetitionWindow.
-func (h *errorHistory) has(payload string, now time.Duration) bool {
-	return slices.ContainsFunc(h.records, func(record errorRecord) bool { return record.payload == payload && !record.isOld(now) })
+// forget drops the errors that can't be repeated any more, once a statement that was sent
+// at the given time has been answered: an instance repeats an error within
+// repetitionWindow, and the connection delivers what it sends in order, however late.
+func (h *errorHistory) forget(sentAt time.Duration) {
+	h.records = slices.DeleteFunc(h.records, func(record errorRecord) bool { return sentAt-record.at > repetitionWindow })
 }
 
-// hasRecent reports whether any error was delivered within repetitionWindow.
-func (h *errorHistory) hasRecent(now time.Duration) bool {
-	count := len(h.records)
-	return count > 0 && !h.records[count-1].isOld(now)
+// has reports whether the same error may be repeated.
+func (h *errorHistory) has(payload string) bool {
+	return slices.ContainsFunc(h.records, func(record errorRecord) bool { return record.payload == payload })
 }
 
+func (h *errorHistory) isEmpty() bool { return len(h.records) == 0 }
+
+func (h *errorHistory) isFull() bool { return len(h.records) >= maxErrors }
+
 // Parameters of the 64-bit FNV-1a hash.
 const (
 	hashSeed  = uint64(14695981039346656037)
--- a/internal/coordination/pool/linepool/answer_match.go
+++ b/internal/coordination/pool/linepool/answer_match.go
@@ -28,11 +28,11 @@
 	instance, kind := conn.instance, attempt.request.rowKind()
 	instance.maxRows[kind] = max(instance.maxRows[kind], len(received.rows))
 	attempt.rows, attempt.result = received.rows, received.result
+	conn.errors.forget(attempt.sentAt)
 	conn.record(received, ready, now)
 }
 
-// onFailed handles a complete answer with an error that the connection has not delivered
-// recently.
+// onFailed handles a complete answer with an error that is no repetition.
 func (m *Machine) onFailed(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
 	conn.errors.add(received.result.Payload, now)
 	attempt := conn.popPending()
--- a/internal/coordination/pool/linepool/answer_proof_test.go
+++ b/internal/coordination/pool/linepool/answer_proof_test.go
@@ -134,19 +134,61 @@
 		h.answerSend(h.nextSend(), lineproto.StateIdle, done("s"))
 		So(h.lastResponse(client), ShouldEqual, "DONE s / READY I")
 	})
-	Convey("A single write runs on a connection without recent errors, which may be a new one", t, func() {
-		for _, pause := range []time.Duration{0, repetitionWindow + 1} {
+	Convey("A single write runs on a connection with an error only after a statement that was sent later has been answered", t, func() {
+		for _, testCase := range []struct {
+			pause, pauseAfterRead time.Duration
+			same                  bool
+		}{
+			{0, 0, false},
+			{0, 2 * repetitionWindow, false},
+			{repetitionWindow + 1, 0, true},
+		} {
 			h := newHarness(1)
 			client := h.client("strict")
 			h.query(client, write("1"))
 			send := h.nextSend()
 			h.receive(send.Conn, busy(h)...)
 			So(h.lastResponse(client), ShouldEqual, "ERROR BUSY / READY I")
-			h.now += pause
+			h.now += testCase.pause
+			h.update(leaseDuration)
+			h.query(client, read("1"))
+			h.now += testCase.pauseAfterRead
+			h.update(leaseDuration)
+			h.answerSend(h.nextSend(), lineproto.StateIdle, done("s"))
 			h.query(client, write("2"))
-			So(h.nextSend().Conn == send.Conn, ShouldEqual, pause != 0)
+			So(h.nextSend().Conn == send.Conn, ShouldEqual, testCase.same)
 		}
 	})
+	Convey("An error that arrives again after a stall is not the answer to a write", t, func() {
+		h := newHarness(1)
+		client := h.client("strict")
+		h.query(client, write("1"))
+		send := h.nextSend()
+		h.receive(send.Conn, busy(h)...)
+		h.now += 10 * repetitionWindow
+		h.update(leaseDuration)
+		h.query(client, write("2"))
+		h.receive(send.Conn, busy(h)...)
+		So(h.lastResponse(client), ShouldEqual, "ERROR BUSY / READY I")
+		So(h.responseCount(client), ShouldEqual, 2)
+		h.answerSend(h.nextSend(), lineproto.StateIdle, done("s2"))
+		So(h.lastResponse(client), ShouldEqual, "DONE s2 / READY I")
+	})
+	Convey("A connection with many different errors is closed", t, func() {
+		h := newHarness(1)
+		client := h.client("strict")
+		var conn *Conn
+		for number := range maxErrors {
+			h.query(client, read("1"))
+			send := h.nextSend()
+			So(conn == nil || send.Conn == conn, ShouldBeTrue)
+			conn = send.Conn
+			failed := failure(lineproto.CodeOther)
+			failed.Payload += " " + time.Duration(number).String()
+			h.receive(conn, failed, h.readyIn(lineproto.StateIdle))
+		}
+		So(conn.IsClosed(), ShouldBeTrue)
+	})
 	Convey("An error that is sent again while no statement waits is dropped, and another one closes the connection", t, func() {
 		h := newHarness(1)
 		client := h.client("strict")
--- a/internal/coordination/pool/linepool/conn.go
+++ b/internal/coordination/pool/linepool/conn.go
@@ -61,7 +61,7 @@
 	position model.Position
 	// begun describes the acknowledgments inside transactions.
 	begun beginRecord
-	// errors holds the errors that the connection has delivered recently.
+	// errors holds the errors of the connection that may be repeated.
 	errors errorHistory
 	// acknowledged is true if the connection has delivered an answer without a stamp.
 	acknowledged bool
@@ -128,8 +128,9 @@
 }
 
 // release makes a connection idle. It closes the connection instead if the
-// instance has stopped, if it is draining and not the primary, or if the node
-// has more connections than its quota.
+// instance has stopped, if it is draining and not the primary, if the node
+// has more connections than its quota, or if the connection has delivered too many
+// errors.
 func (m *Machine) release(conn *Conn, now time.Duration) {
 	if conn.state == connClosed {
 		return
@@ -137,7 +138,7 @@
 	instance := conn.instance
 	conn.state, conn.attempt = connIdle, nil
 	draining := instance.drainingSince != 0 && !m.isPrimary(instance)
-	if draining || instance.info.Stopped || len(instance.conns) > instance.quota.MaxOpen {
+	if draining || instance.info.Stopped || conn.errors.isFull() || len(instance.conns) > instance.quota.MaxOpen {
 		m.closeConn(conn, now)
 		return
 	}
--- a/internal/coordination/pool/linepool/instance.go
+++ b/internal/coordination/pool/linepool/instance.go
@@ -188,7 +188,7 @@
 }
 
 // takeIdle removes an idle connection that may serve a request from the list and
-// returns it, or nil if there is none. It prefers a connection without recent errors, then
+// returns it, or nil if there is none. It prefers a connection without errors, then
 // one that has the client's session state, and among those the one used last.
 func (i *instanceState) takeIdle(request *Request, now time.Duration) *Conn {
 	best := i.bestIdle(request, now, false)
@@ -204,13 +204,13 @@
 }
 
 // bestIdle returns the index of the idle connection that suits a request best, or -1. The
-// connections with recent errors are skipped unless failed is true: an error on them may
-// be a repetition, which leaves the outcome of a write unknown.
+// connections whose errors may be repeated are skipped unless failed is true: a repetition
+// leaves the outcome of a write unknown.
 func (i *instanceState) bestIdle(request *Request, now time.Duration, failed bool) int {
 	best, bestMismatch := -1, mismatchNone
 	begins := request.begins()
 	for index, conn := range slices.Backward(i.idle) {
-		if (begins && !conn.mayBegin(now)) || (!failed && conn.errors.hasRecent(now)) {
+		if (begins && !conn.mayBegin(now)) || (!failed && !conn.errors.isEmpty()) {
 			continue
 		}
 		mismatch := sessionMismatch(conn, request.client)
--- a/internal/coordination/pool/linepool/receive.go
+++ b/internal/coordination/pool/linepool/receive.go
@@ -33,7 +33,8 @@
 // be a repetition:
 //   - The result of a statement has a stamp that the connection has not delivered
 //     within repetitionWindow. Older repetitions are not recognized.
-//   - The connection has not delivered the same error within repetitionWindow.
+//   - The connection has not delivered the same error, or has since answered a statement
+//     that was sent more than repetitionWindow later.
 //   - A BEGIN is acknowledged inside a transaction, at a later position than all
 //     acknowledgments inside transactions within repetitionWindow.
 //   - The acknowledgments of other commands of the node's own prove nothing, and
@@ -179,7 +180,7 @@
 		m.closeMalformed(conn, now)
 		return
 	}
-	repeated := conn.errors.has(message.Payload, now)
+	repeated := conn.errors.has(message.Payload)
 	if !incoming.requested && repeated {
 		m.dropRepeated(conn)
 		return
