Count an unproven error in the window as an error

Cause: the same error twice on a connection closes it, and its statement counted as lost: with the threshold as its latency in the window, and as a failure in the instance's health. An instance that refused statements looked like one that does not answer.

Ruled out: the failures are not by chance; both repeat, and pass with the change.

Change: an unproven error is judged when its answer is complete, and counts in the window and the health as the error that it says; only its connection is given up.

--- a/internal/coordination/pool/linepool/answer_match.go
+++ b/internal/coordination/pool/linepool/answer_match.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tansyseam/internal/coordination/flowcontrol"
 	"tansyseam/internal/state/lineproto"
 )
 
@@ -32,8 +33,12 @@
 	conn.record(received, ready, now)
 }
 
-// onFailed handles a complete answer with an error that is no repetition.
+// onFailed handles a complete answer with an error.
 func (m *Machine) onFailed(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
+	if conn.errors.has(received.result.Payload) {
+		m.closeWithUnprovenError(conn, received, now)
+		return
+	}
 	conn.errors.add(received.result.Payload, now)
 	attempt := conn.popPending()
 	conn.record(received, ready, now)
@@ -51,6 +56,25 @@
 	m.completeStatement(attempt, ready, now)
 }
 
+// closeWithUnprovenError closes a connection with an error that may be a repetition. It is
+// most likely none, so it counts in the window as an error and not as a lost statement.
+func (m *Machine) closeWithUnprovenError(conn *Conn, received answer, now time.Duration) {
+	m.Count("answers_unproven", 1)
+	attempt := conn.attempt
+	if attempt == nil {
+		m.ConnLost(conn, now)
+		return
+	}
+	attempt.result = received.result
+	m.markLagging(attempt, now)
+	if attempt.statementSent {
+		m.recordOutcome(attempt, now)
+	} else {
+		conn.instance.window.Release(flowcontrol.Rejected, 0)
+	}
+	m.loseConn(conn, now)
+}
+
 // onAcknowledged handles a complete answer without a stamp. It is dropped if the session
 // is not in the state that the command leaves, since it may then be a repetition.
 func (m *Machine) onAcknowledged(conn *Conn, received answer, ready lineproto.Message, now time.Duration) {
--- a/internal/coordination/pool/linepool/answer_proof_test.go
+++ b/internal/coordination/pool/linepool/answer_proof_test.go
@@ -212,7 +212,7 @@
 		So(statement.Conn, ShouldEqual, send.Conn)
 		h.receive(send.Conn, done("s"), h.readyIn(lineproto.StateInTransaction))
 		h.query(client, commit())
-		h.receive(send.Conn, failure(lineproto.CodeOther))
+		h.receive(send.Conn, failure(lineproto.CodeOther), h.readyIn(lineproto.StateIdle))
 		So(send.Conn.IsClosed(), ShouldBeTrue)
 		So(h.lastResponse(client), ShouldEqual, "ERROR UNKNOWN / READY I")
 	})
--- a/internal/coordination/pool/linepool/conn.go
+++ b/internal/coordination/pool/linepool/conn.go
@@ -194,13 +194,20 @@
 		m.Count("connections_refused", 1)
 		m.backOff(instance, now)
 	}
+	if conn.attempt != nil {
+		m.releaseLost(conn.attempt, now)
+		instance.health.Observe(true, now)
+	}
+	m.loseConn(conn, now)
+}
+
+// loseConn ends a connection, and the request or transaction on it as far as they depend
+// on it. The attempt on it has left the window.
+func (m *Machine) loseConn(conn *Conn, now time.Duration) {
+	instance := conn.instance
 	m.removeConn(conn)
 	attempt, owner := conn.attempt, conn.owner
 	conn.attempt, conn.owner = nil, nil
-	if attempt != nil {
-		m.releaseLost(attempt, now)
-		instance.health.Observe(true, now)
-	}
 	if attempt != nil && attempt.isCurrent() {
 		m.Count("statements_cut", 1)
 		m.onAttemptLost(attempt, now)
--- a/internal/coordination/pool/linepool/receive.go
+++ b/internal/coordination/pool/linepool/receive.go
@@ -189,10 +189,6 @@
 		m.closeUnasked(conn, now)
 		return
 	}
-	if repeated {
-		m.closeUnproven(conn, now)
-		return
-	}
 	m.Count("instance_errors_"+message.Code.String(), 1)
 	incoming.result, incoming.hasResult = message, true
 }
