Let the former backup lead in an epoch without a backup

Cause: in such an epoch only its primary was eligible. Writes are held in it, so the former backup has all that was acknowledged, but the record named nobody else, and without a primary no voter is replaced.

Ruled out: votes promised to others (none), a replica that lacked the version (the former backup had it).

Change: the record of an epoch without a backup names the fallback, the other voter that has all that was acknowledged or served, with the incarnation of its disk. It may lead as a backup may. Records are compared without the field, which builds before this one leave out.

--- a/internal/coordination/consensus/acceptor.go
+++ b/internal/coordination/consensus/acceptor.go
@@ -20,13 +20,14 @@
 
 // isEligible reports whether a candidate may become primary. The candidate's newest
 // record must be the same as that of this node. The candidate must also be the primary
-// or the backup of that record, or a spare voter that votesForSpare accepts.
+// or a successor in that record, or a spare voter that votesForSpare accepts. The
+// candidate's copy of the record is used, because the copy of this node may have been
+// passed on by a build that leaves out the fallback.
 func (m *Machine) isEligible(candidate string, prepare Prepare, now time.Duration) bool {
-	decided := m.voterState.Decided
-	if decided != prepare.Decided {
+	if !m.voterState.Decided.IsSame(prepare.Decided) {
 		return false
 	}
-	return candidate == decided.Primary || candidate == decided.Backup || m.votesForSpare(candidate, prepare.Version, now)
+	return prepare.Decided.HasRole(candidate) || m.votesForSpare(candidate, prepare.Version, now)
 }
 
 // vote fills in the promise and grants it, unless this node has already promised a
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -18,6 +18,8 @@
 	results      map[uint64]SubmitResult
 	epochChanges int
 	onSend       func(from, to string, body any)
+	// isLost reports whether the next message is lost. If it is nil, none is.
+	isLost func() bool
 }
 
 func address(name string) string { return name + ":1" }
@@ -40,7 +42,7 @@
 			c.epochChanges++
 			So(changed.Table, ShouldNotBeNil)
 		}
-		if send, ok := effect.(Send); ok && c.up[send.To] && c.up[name] {
+		if send, ok := effect.(Send); ok && c.up[send.To] && c.up[name] && (c.isLost == nil || !c.isLost()) {
 			if c.onSend != nil {
 				c.onSend(name, send.To, send.Body)
 			}
--- a/internal/coordination/consensus/contacts.go
+++ b/internal/coordination/consensus/contacts.go
@@ -41,7 +41,7 @@
 // notePrimaryContact records the time at which a message with a record was received, if
 // the record is the newest known one and the sender is its primary.
 func (m *Machine) notePrimaryContact(from string, record Record, now time.Duration) {
-	if m.isFormed() && m.voterState.Decided == record && record.Primary == from {
+	if m.isFormed() && m.voterState.Decided.IsSame(record) && record.Primary == from {
 		m.contacts.primaryAt = now
 	}
 }
--- a/internal/coordination/consensus/doc.go
+++ b/internal/coordination/consensus/doc.go
@@ -3,7 +3,9 @@
 // Each node with a data directory runs one Machine. Time is divided into epochs. The
 // Record of an epoch names its primary, its backup and its voters. The voters decide
 // the record of the next epoch by single-decree Paxos (package proposal). The proposer
-// is the primary, the backup or, if both are unavailable, a spare voter.
+// is the primary, the backup or, if both are unavailable, a spare voter. In an epoch
+// without a backup, in which no writes are made, the fallback takes the place of the
+// backup: the other voter that has all writes.
 //
 // The primary holds a lease, which a majority of the voters renews. While the primary
 // holds the lease, it alone serves the control state and accepts writes. It makes one
--- a/internal/coordination/consensus/epoch.go
+++ b/internal/coordination/consensus/epoch.go
@@ -9,26 +9,38 @@
 )
 
 // nextRecord returns a record of the next epoch with this node as primary and the given
-// backup.
-func (m *Machine) nextRecord(backup string) Record {
+// backup and voters. If there is no backup, the other node that has all writes becomes
+// the fallback, provided that it stays a voter with the same disk.
+func (m *Machine) nextRecord(backup string, voters Voters) Record {
 	decided := m.voterState.Decided
-	return Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: backup, Voters: decided.Voters}
+	record := Record{Epoch: decided.Epoch + 1, Primary: m.self, Backup: backup, Voters: voters}
+	if backup == "" && m.bootstrap.RequireBackup {
+		record.Fallback = decided.otherHolder(m.self)
+	}
+	if !record.hasFallback() {
+		record.Fallback = Member{}
+	}
+	return record
 }
 
+// withoutBackup returns a record of the next epoch with this node as primary and no
+// backup.
+func (m *Machine) withoutBackup() Record { return m.nextRecord("", m.voterState.Decided.Voters) }
+
 // adopt makes record the newest known record if it belongs to a newer epoch.
 func (m *Machine) adopt(record Record, now time.Duration, reason string) {
 	if record.Epoch <= m.voterState.Decided.Epoch || !m.isFormed() {
 		return
 	}
-	wasPrimary, previousVoters := m.isRecordedPrimary(), m.voterState.Decided.Voters
+	wasPrimary, previous := m.isRecordedPrimary(), m.voterState.Decided
 	m.setDecided(record)
 	m.saveVoterState()
-	m.replica.ahead = m.replica.ahead && m.isRecordedPrimary() && record.Backup != ""
+	m.replica.ahead = m.isAheadAfter(previous, wasPrimary)
 	m.proposals.end()
 	m.repairs.active = nil
 	clear(m.lease.grantSentAt)
 	m.assumeLeaseGranted(now)
-	m.forgetReplacedVoters(previousVoters, now)
+	m.forgetReplacedVoters(previous.Voters, now)
 	if !m.isRecordedPrimary() {
 		m.lease.until = 0
 		m.failWrites()
@@ -46,6 +58,25 @@
 	}
 }
 
+// isAheadAfter reports whether, as primary of the record that was just adopted, this
+// node may have a write that the backup or the fallback lacks.
+//
+// A primary that was ahead stays so until there is no other successor, or until a node
+// that it repaired in an epoch without a backup is the backup. A fallback that takes over
+// may be ahead of the primary before it, because a primary saves a write before the
+// backup does.
+func (m *Machine) isAheadAfter(previous Record, wasPrimary bool) bool {
+	record := m.voterState.Decided
+	if !m.isRecordedPrimary() {
+		return false
+	}
+	if record.Backup != "" {
+		return m.replica.ahead && previous.Backup != ""
+	}
+	tookOverAsFallback := !wasPrimary && previous.Backup == ""
+	return record.hasFallback() && (m.replica.ahead || tookOverAsFallback)
+}
+
 // setDecided replaces the newest known record and resets the acceptor, which then votes
 // on the epoch after that record.
 func (m *Machine) setDecided(record Record) {
--- a/internal/coordination/consensus/grantedlease.go
+++ b/internal/coordination/consensus/grantedlease.go
@@ -27,7 +27,7 @@
 		return
 	}
 	decided := m.voterState.Decided
-	granted := decided == renewal.Record && decided.Primary == from && !m.voterState.VotedForOther
+	granted := decided.IsSame(renewal.Record) && decided.Primary == from && !m.voterState.VotedForOther
 	if granted {
 		m.granted = grantedLease{primary: from, grantedAt: now}
 	}
--- a/internal/coordination/consensus/lease.go
+++ b/internal/coordination/consensus/lease.go
@@ -77,7 +77,7 @@
 	}
 	m.tracker.lastAck[from] = now
 	m.clock.readPeer(from, ack.WallNanos, ack.SentAt, now)
-	if ack.Granted && ack.Decided == m.voterState.Decided {
+	if ack.Granted && ack.Decided.IsSame(m.voterState.Decided) {
 		m.lease.noteGrant(from, ack.SentAt)
 		m.extendLease(now)
 		m.startNextWrite(now)
--- a/internal/coordination/consensus/leaving.go
+++ b/internal/coordination/consensus/leaving.go
@@ -42,8 +42,7 @@
 func (m *Machine) onLeaving(from string, _ Leaving, now time.Duration) {
 	m.leaving[from] = now
 	decided := m.voterState.Decided
-	hasRole := from == decided.Primary || from == decided.Backup
-	if m.holdsLease(now) && !hasRole && !m.hasStandby(now) && m.hasQuorumWithout(from, now) {
+	if m.holdsLease(now) && !decided.HasRole(from) && !m.hasStandby(now) && m.hasQuorumWithout(from, now) {
 		m.send(from, Released{Epoch: decided.Epoch})
 	}
 }
@@ -55,12 +54,11 @@
 }
 
 // MayStop reports whether this node may shut down without interrupting the service. It
-// may if it is not a voter, or if it is neither primary nor backup and the primary has
+// may if it is not a voter, or if it is neither primary nor a successor and the primary has
 // released it.
 func (m *Machine) MayStop() bool {
 	decided := m.voterState.Decided
-	hasRole := decided.Primary == m.self || decided.Backup == m.self
-	return !m.IsMember() || (!hasRole && m.shutdown.releasedEpoch == decided.Epoch)
+	return !m.IsMember() || (!decided.HasRole(m.self) && m.shutdown.releasedEpoch == decided.Epoch)
 }
 
 // transferPrimary proposes an epoch in which the backup is primary, if this primary is
--- a/internal/coordination/consensus/machine.go
+++ b/internal/coordination/consensus/machine.go
@@ -72,13 +72,26 @@
 	}
 	m.restore(saved)
 	m.proposals.unsettled = m.voterState.Acceptor.Promised.Name == self
-	decided := m.voterState.Decided
-	m.replica.ahead = decided.Primary == self && decided.Backup != "" && m.replica.version().Epoch == decided.Epoch
+	m.replica.ahead = m.mayBeAheadAfterRestart()
 	m.requestStatusOnNextTick(now)
 	m.contacts.primaryAt = now - m.leaseDurations(contactLossLeases)
 	return m
 }
 
+// mayBeAheadAfterRestart reports whether this node is the recorded primary and its
+// replica may have a write that the backup or the fallback lacks. In an epoch without a
+// backup, this may be a write of an earlier epoch.
+func (m *Machine) mayBeAheadAfterRestart() bool {
+	decided := m.voterState.Decided
+	if decided.Primary != m.self {
+		return false
+	}
+	if decided.Backup == "" {
+		return decided.hasFallback()
+	}
+	return m.replica.version().Epoch == decided.Epoch
+}
+
 // Clone returns a machine in the same state. The two machines share only data that
 // neither of them changes.
 func (m *Machine) Clone() *Machine {
--- a/internal/coordination/consensus/membership.go
+++ b/internal/coordination/consensus/membership.go
@@ -17,11 +17,11 @@
 		return false
 	}
 	decided := m.voterState.Decided
-	record := m.nextRecord(decided.Backup)
-	record.Voters = decided.Voters.Replace(replacement.old, replacement.next)
-	if decided.Backup == replacement.old.Name {
-		record.Backup = ""
+	backup := decided.Backup
+	if backup == replacement.old.Name {
+		backup = ""
 	}
+	record := m.nextRecord(backup, decided.Voters.Replace(replacement.old, replacement.next))
 	if !m.hasQuorumWith(record.Voters, replacement.next.Name, now) {
 		return false
 	}
@@ -54,11 +54,14 @@
 	return replacement{}, false
 }
 
-// needsReplacement reports whether a voter is silent, or is leaving and is not the
-// backup.
+// needsReplacement reports whether a voter is silent or leaving. A successor keeps its
+// vote until another node is the backup, because the only other complete replica is that
+// of this node.
 func (m *Machine) needsReplacement(name string, now time.Duration) bool {
-	isLeaving := m.leaving.has(name, now) && name != m.voterState.Decided.Backup
-	return isLeaving || m.tracker.silence(name, now) > m.leaseDurations(silentVoterLeases)
+	if m.voterState.Decided.IsSuccessor(name) {
+		return false
+	}
+	return m.leaving.has(name, now) || m.tracker.silence(name, now) > m.leaseDurations(silentVoterLeases)
 }
 
 // pickStandby returns the standby in the zone with the fewest voters, not counting the
--- a/internal/coordination/consensus/record.go
+++ b/internal/coordination/consensus/record.go
@@ -10,13 +10,56 @@
 )
 
 // Record names the primary and the backup of an epoch, and the voters that decide the
-// record of the next epoch. Records can be compared with ==.
+// record of the next epoch.
 type Record struct {
 	Epoch   uint64
 	Primary string
 	// Backup is empty in an epoch without a backup.
 	Backup string
 	Voters Voters
+	// Fallback is, in an epoch without a backup in which no writes are made, the voter
+	// besides the primary whose replica has all writes that were acknowledged or served.
+	// It may become primary. It is the zero value if there is no such voter, and in
+	// records that a build without this field has passed on.
+	Fallback Member
+}
+
+// IsSame reports whether two records are the decision of the same epoch. It ignores
+// Fallback, which builds without this field leave out.
+func (r Record) IsSame(other Record) bool {
+	r.Fallback, other.Fallback = Member{}, Member{}
+	return r == other
+}
+
+// hasFallback reports whether the record has a fallback that is still a voter.
+func (r Record) hasFallback() bool { return r.Fallback.Name != "" && r.Voters.Has(r.Fallback) }
+
+// IsSuccessor reports whether the named node may become primary without a comparison of
+// replicas, because it has all writes that were acknowledged or served in this epoch or
+// before. It is the backup or the fallback.
+func (r Record) IsSuccessor(name string) bool {
+	return name != "" && (name == r.Backup || (r.hasFallback() && name == r.Fallback.Name))
+}
+
+// HasRole reports whether the named node is the primary or one of its successors.
+func (r Record) HasRole(name string) bool { return name == r.Primary || r.IsSuccessor(name) }
+
+// otherHolder returns the voter besides the named one that has all writes that were
+// acknowledged or served. It returns the zero value if there is none, or if the named
+// node itself is neither the primary nor a successor.
+func (r Record) otherHolder(name string) Member {
+	successor := r.Fallback
+	if r.Backup != "" {
+		successor, _ = r.Voters.Find(r.Backup)
+	}
+	if name == r.Primary {
+		return successor
+	}
+	if name != successor.Name {
+		return Member{}
+	}
+	primary, _ := r.Voters.Find(r.Primary)
+	return primary
 }
 
 // decodeRecord decodes the value of a proposal. The error is store.ErrDecode.
--- a/internal/coordination/consensus/repair.go
+++ b/internal/coordination/consensus/repair.go
@@ -31,7 +31,7 @@
 func (m *Machine) repairNextBackup(now time.Duration) {
 	backup := m.voterState.Decided.Backup
 	isLeaving := m.leaving.has(backup, now)
-	if (backup != "" && !isLeaving) || !m.IsPrimary(now) {
+	if (backup != "" && !isLeaving) || !m.holdsLease(now) {
 		return
 	}
 	if m.repairs.active != nil && now-m.repairs.active.sentAt < m.timing.ReplyTimeout {
@@ -139,6 +139,6 @@
 	}
 	m.repairs.active = nil
 	if !m.proposals.isUnderWay() {
-		m.propose(m.nextRecord(from), now)
+		m.propose(m.nextRecord(from, m.voterState.Decided.Voters), now)
 	}
 }
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -14,9 +14,10 @@
 	// committed is the table without the write that may not be replicated yet. The
 	// primary serves it. Other nodes do not keep it up to date.
 	committed *store.Table
-	// ahead is true if the table may contain a write from an earlier run of the program
-	// that the backup lacks. The primary serves nothing until an epoch without a backup
-	// is decided, after which the write is certain to be kept.
+	// ahead is true if the table may contain a write from an earlier run of the program,
+	// or from an earlier time as primary, that the backup or the fallback lacks. The
+	// primary serves nothing until an epoch is decided after which the write is certain
+	// to be kept: one with a backup that was repaired, or one without any successor.
 	ahead bool
 }
 
--- a/internal/coordination/consensus/replication.go
+++ b/internal/coordination/consensus/replication.go
@@ -28,7 +28,7 @@
 // The record must be the newest known record, and this node must not have promised its
 // vote to a candidate that may lack that state.
 func (m *Machine) followsPrimary(from string, record Record) bool {
-	return m.voterState.Decided == record && record.Primary == from && m.IsMember() && !m.hasPromisedOther(from)
+	return m.voterState.Decided.IsSame(record) && record.Primary == from && m.IsMember() && !m.hasPromisedOther(from)
 }
 
 func (m *Machine) onReplicateAck(from string, ack ReplicateAck, now time.Duration) {
--- a/internal/coordination/consensus/tick.go
+++ b/internal/coordination/consensus/tick.go
@@ -30,15 +30,15 @@
 	}
 	m.failWrites()
 	if m.mayReplacePrimary(now) {
-		m.propose(m.nextRecord(""), now)
+		m.propose(m.withoutBackup(), now)
 	}
 }
 
-// mayReplacePrimary reports whether this node, as the backup or a spare, may propose
+// mayReplacePrimary reports whether this node, as a successor or a spare, may propose
 // itself as primary now.
 func (m *Machine) mayReplacePrimary(now time.Duration) bool {
-	isBackup := m.voterState.Decided.Backup == m.self && m.IsMember() && !m.isDiskStalled()
-	if !isBackup && !m.mayProposeAsSpare(now) {
+	isSuccessor := m.voterState.Decided.IsSuccessor(m.self) && m.IsMember() && !m.isDiskStalled()
+	if !isSuccessor && !m.mayProposeAsSpare(now) {
 		return false
 	}
 	return m.hasGrantedNoLeaseFor(m.timing.PrimaryLease, now) && !m.proposals.isUnderWay() && m.proposals.isDue(now)
@@ -72,14 +72,14 @@
 // proposeEpoch proposes a new epoch if one is due. It reports whether the primary must
 // postpone all other work until the epoch is decided.
 func (m *Machine) proposeEpoch(now time.Duration) bool {
-	if (m.proposals.unsettled || m.replica.ahead) && m.settleUncertainState(now) {
+	if m.isStateUncertain() && m.settleUncertainState(now) {
 		return true
 	}
 	mayPropose := m.proposals.isDue(now)
-	if mayPropose && m.IsPrimary(now) && (m.transferPrimary(now) || m.replaceVoter(now)) {
+	if mayPropose && m.holdsLease(now) && (m.transferPrimary(now) || m.replaceVoter(now)) {
 		return true
 	}
-	if mayPropose && m.IsPrimary(now) && m.isBackupSilent(now) {
+	if mayPropose && m.holdsLease(now) && m.isBackupSilent(now) {
 		m.dropBackup(now, reasonBackupSilent)
 		return true
 	}
@@ -90,12 +90,18 @@
 	return false
 }
 
+// isStateUncertain reports whether a proposal of this node may still be decided, or a
+// write may be on this node's disk and not on the backup's.
+func (m *Machine) isStateUncertain() bool {
+	return m.proposals.unsettled || (m.replica.ahead && m.voterState.Decided.Backup != "")
+}
+
 // settleUncertainState proposes an epoch without a backup. Once that epoch is decided,
-// it is certain which record was decided before and which writes are kept. The function
-// reports whether the primary must wait for the decision.
+// it is certain which record was decided before, and the next backup receives the writes
+// of this node. The function reports whether the primary must wait for the decision.
 func (m *Machine) settleUncertainState(now time.Duration) bool {
 	if m.proposals.isDue(now) && m.holdsLease(now) {
-		m.propose(m.nextRecord(""), now)
+		m.propose(m.withoutBackup(), now)
 	}
 	return m.proposals.isUnderWay() || m.holdsLease(now)
 }
@@ -103,11 +109,12 @@
 // proposeAfterRefusal proposes an epoch that keeps the backup, unless the backup may
 // lack a write that this replica has.
 func (m *Machine) proposeAfterRefusal(now time.Duration) {
-	record := m.nextRecord(m.voterState.Decided.Backup)
+	decided := m.voterState.Decided
 	if m.replica.ahead {
-		record.Backup = ""
+		m.propose(m.withoutBackup(), now)
+		return
 	}
-	m.propose(record, now)
+	m.propose(m.nextRecord(decided.Backup, decided.Voters), now)
 }
 
 // isLeaseRefused reports whether the lease has lapsed although voters respond.
@@ -132,5 +139,5 @@
 func (m *Machine) dropBackup(now time.Duration, reason string) {
 	m.tracker.exclude(m.voterState.Decided.Backup, now+m.leaseDurations(droppedBackupLeases))
 	m.emitEpochChanged(reason)
-	m.propose(m.nextRecord(""), now)
+	m.propose(m.withoutBackup(), now)
 }
--- a/test/compatibility/fill_test.go
+++ b/test/compatibility/fill_test.go
@@ -20,6 +20,7 @@
 	"message.encodedUpdateRequest": {"IsDiff", "Sets"},
 	"model.Snapshot":               {"Changes", "Sequences"},
 	"encoded.Doc":                  {"Changes", "Kept"},
+	"consensus.Record":             {"Fallback"},
 }
 
 func isLaterField(typ reflect.Type, index int) bool {
--- a/test/compatibility/shape_test.go
+++ b/test/compatibility/shape_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"tansyseam/internal/coordination/consensus"
 	"tansyseam/internal/coordination/distribution"
 	"tansyseam/internal/protocol/message"
 	"tansyseam/internal/state/encoded"
@@ -63,6 +64,7 @@
 		types := map[string]reflect.Type{}
 		for _, sample := range []any{
 			distribution.UpdateRequest{}, message.Encode(distribution.UpdateRequest{}), model.Snapshot{}, encoded.Doc{},
+			consensus.Record{},
 		} {
 			types[reflect.TypeOf(sample).String()] = reflect.TypeOf(sample)
 		}
