Treat each announcement after an instance's leave as late

Cause: a leave carries no call_count. The control primary gave it the number after the last one recorded, and took heartbeats that were sent before the leave, but arrived after it, for newer ones.

Ruled out: the proxies, which follow the primary's list; the five seconds after which an old number counts again, which do not hold after a leave.

Change: a leave is final. Until its entry expires, five minutes after it, each announcement of the instance is stale, whatever its number. The number that was made up goes.

Test, seen failing: TestInstanceTable, number 6 after a leave behind number 4 was recorded (and number 5 only because of the made-up number). The case that held announcements with up to that number stale after a leave is replaced by one that holds all of them stale.

--- a/internal/app/node/announce_test.go
+++ b/internal/app/node/announce_test.go
@@ -88,18 +88,34 @@
 			So(result, ShouldEqual, announcementRecorded)
 			So(changed, ShouldBeFalse)
 		})
-		Convey("A stop announcement marks the recorded instance as stopped and leaving, and announcements without a higher number stay stale after it; for an unknown instance it is not recorded", func() {
-			stopped, changed, result := table.record(model.Instance{Name: "i-1", Stopped: true}, time.Minute)
+		Convey("A stop announcement marks the recorded instance as stopped and leaving; for an unknown instance it is not recorded", func() {
+			stopped, changed, result := table.record(model.Instance{Name: "i-1", Stopped: true, SyncReplication: true}, time.Minute)
 			So(result, ShouldEqual, announcementRecorded)
 			So(changed, ShouldBeTrue)
-			expected := synced(5)
+			expected := synced(4)
 			expected.Stopped, expected.Leaving = true, true
 			So(stopped, ShouldResemble, expected)
-			_, _, result = table.record(synced(5), time.Minute+2*announcementNumberLifetime)
-			So(result, ShouldEqual, announcementStale)
 			_, _, result = table.record(model.Instance{Name: "i-9", Stopped: true}, time.Minute)
 			So(result, ShouldEqual, announcementUnknown)
 		})
+		// Guards against statements that reach an instance after it has left, because
+		// heartbeats from before the leave arrive late (review/7).
+		Convey("After a stop announcement, any announcement of the instance is stale until the entry expires, whatever its number", func() {
+			stop := model.Instance{Name: "i-1", Stopped: true, SyncReplication: true}
+			table.record(stop, time.Minute)
+			for _, number := range []uint64{3, 4, 5, 6, 7, 100} {
+				for _, delay := range []time.Duration{0, announcementNumberLifetime, 2 * announcementNumberLifetime, instanceLifetime} {
+					_, _, result := table.record(synced(number), time.Minute+delay)
+					So(result, ShouldEqual, announcementStale)
+					So(table.byName["i-1"].Instance.Stopped, ShouldBeTrue)
+				}
+			}
+			_, _, result := table.record(stop, time.Minute+time.Second)
+			SoMsg("the stop announcement may be repeated", result, ShouldEqual, announcementRecorded)
+			_, _, result = table.record(synced(1), time.Minute+time.Second+instanceLifetime+1)
+			So(result, ShouldEqual, announcementRecorded)
+			So(table.byName["i-1"].Instance.Stopped, ShouldBeFalse)
+		})
 		Convey("An instance whose last announcement has expired is removed when another instance announces itself", func() {
 			other := model.Instance{Name: "i-2", Database: "db2"}
 			table.record(other, time.Minute+instanceLifetime)
--- a/internal/app/node/instances.go
+++ b/internal/app/node/instances.go
@@ -30,11 +30,20 @@
 
 // isStale reports whether an announcement is not newer than the recorded one of the
 // same instance. Only instances with synchronous replication number their
-// announcements; announcements of other instances are never stale. After a stop,
-// an announcement without a higher number is stale at any time.
+// announcements; announcements of other instances are never stale.
+//
+// A stop announcement has no number and is final. Announcements that were sent before it
+// may arrive after it, with any number, so all announcements but another stop are stale
+// until the entry expires.
 func (a AnnouncedInstance) isStale(instance model.Instance, now time.Duration) bool {
-	notNewer := instance.SyncReplication && instance.AnnouncementNumber <= a.Instance.AnnouncementNumber
-	return notNewer && (a.Instance.Stopped || now-a.AnnouncedAt < announcementNumberLifetime)
+	if !instance.SyncReplication || instance.Stopped {
+		return false
+	}
+	age := now - a.AnnouncedAt
+	if a.Instance.Stopped {
+		return age <= instanceLifetime
+	}
+	return instance.AnnouncementNumber <= a.Instance.AnnouncementNumber && age < announcementNumberLifetime
 }
 
 // announcementResult is the result of recording an announcement.
@@ -95,7 +104,6 @@
 func markStopped(previous model.Instance) model.Instance {
 	stopped := previous
 	stopped.Stopped, stopped.Leaving = true, true
-	stopped.AnnouncementNumber++
 	return stopped
 }
 
