Record an instance's departure in the control state before acknowledging it

What callers saw: after a change of the control primary, statements went to an instance whose draining or leave had been acknowledged, later than drain_ms (DRAIN).

Cause: the acknowledgement rested on the memory of one process. The next primary lists what arrives, whatever its number, and drops a leave of an instance that it has not heard of.

Ruled out: the list that proxies keep over the change, which holds until the next primary lists the instance; heartbeats that follow a draining, which repair the list only after the drain window has begun anew.

Change: the primary acknowledges a departure once it is committed (model.Departure; waiting departures share one write). Announcements are read through it: a stop is final, a number up to that of the first draining still counts as draining. A new primary lists all recorded departures; proxies keep what they know of one that has a name only. A node that is not primary completes a leave by what it knows.

--- a/internal/app/control/evidence.go
+++ b/internal/app/control/evidence.go
@@ -52,7 +52,7 @@
 }
 
 func (s *Server) evidenceFor(database string) message.EvidenceResponse {
-	observations := newObservations(s.node.DatabaseInstances(database, instanceRetention))
+	observations := s.newObservations(s.node.DatabaseInstances(database, instanceRetention))
 	now := s.node.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -25,7 +25,7 @@
 		s.onNodeReport(report)
 	})
 	node.HandleMessage(s.node, func(_ string, announcement message.InstanceAnnouncement, reply func(any)) {
-		reply(s.acceptAnnouncement(announcement.Instance))
+		s.acceptAnnouncement(announcement.Instance, func(result message.AnnouncementResult) { reply(result) })
 	})
 	node.HandleMessage(s.node, func(_ string, bound syncrepl.ReportBound, _ func(any)) {
 		s.confirmCoverage(bound)
--- a/internal/app/control/instances.go
+++ b/internal/app/control/instances.go
@@ -7,6 +7,7 @@
 	"tansyseam/internal/coordination/distribution"
 	"tansyseam/internal/protocol/message"
 	"tansyseam/internal/state/model"
+	"tansyseam/internal/transport/worker"
 )
 
 const (
@@ -23,13 +24,18 @@
 // observations returns the instances that announced themselves to this node within
 // instanceRetention.
 func (s *Server) observations() []distribution.Observation {
-	return newObservations(s.node.Instances(instanceRetention))
+	return s.newObservations(s.node.Instances(instanceRetention))
 }
 
-func newObservations(instances []node.AnnouncedInstance) []distribution.Observation {
+// newObservations returns the announcements as they must be treated after the recorded
+// departures of their instances.
+func (s *Server) newObservations(instances []node.AnnouncedInstance) []distribution.Observation {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	var observations []distribution.Observation
 	for _, announced := range instances {
-		observations = append(observations, distribution.Observation{Instance: announced.Instance, ObservedAt: announced.AnnouncedAt})
+		instance := s.distributor.WithDeparture(announced.Instance)
+		observations = append(observations, distribution.Observation{Instance: instance, ObservedAt: announced.AnnouncedAt})
 	}
 	return observations
 }
@@ -38,9 +44,10 @@
 // instance to the control primary. If the primary accepts it, onSyncAnnouncement
 // returns the primary's HTTP address.
 func (s *Server) onSyncAnnouncement(instance model.Instance) (httpAddress string, accepted bool) {
-	if result := s.acceptAnnouncement(instance); result.Accepted {
-		return result.HTTPAddress, true
+	if s.isPrimary() {
+		return s.acceptOwnAnnouncement(instance)
 	}
+	instance = s.describeStopped(instance)
 	address, _ := s.node.ControlPrimary()
 	if address == "" || address == s.node.Self().RPCAddress {
 		return "", false
@@ -55,23 +62,71 @@
 	return result.HTTPAddress, true
 }
 
-// acceptAnnouncement accepts an announcement if this node is the control primary.
-func (s *Server) acceptAnnouncement(instance model.Instance) message.AnnouncementResult {
+// describeStopped completes an announcement that says only that an instance has stopped,
+// if this node has received an earlier announcement of the instance. The control primary
+// may not have received one.
+func (s *Server) describeStopped(instance model.Instance) model.Instance {
+	announced, found := s.node.Instance(instance.Name)
+	if !instance.Stopped || instance.Database != "" || !found {
+		return instance
+	}
+	described := announced.Instance
+	described.Stopped, described.Leaving = true, true
+	return described
+}
+
+// acceptOwnAnnouncement accepts an announcement at the control primary and waits until it
+// may be acknowledged.
+func (s *Server) acceptOwnAnnouncement(instance model.Instance) (httpAddress string, accepted bool) {
+	results := make(chan message.AnnouncementResult, 1)
+	s.acceptAnnouncement(instance, func(result message.AnnouncementResult) { results <- result })
+	result, _ := worker.ReceiveWithin(s.node.Workers, results, announceTimeout)
+	return result.HTTPAddress, result.Accepted
+}
+
+// acceptAnnouncement accepts an announcement if this node is the control primary. The
+// announcement that an instance is leaving or has stopped is accepted once the departure
+// is recorded in the control state, because it binds the next primary too.
+func (s *Server) acceptAnnouncement(instance model.Instance, reply func(message.AnnouncementResult)) {
 	if !s.isPrimary() || !s.node.RecordAnnouncement(instance) {
-		return message.AnnouncementResult{}
+		reply(message.AnnouncementResult{})
+		return
 	}
-	s.registerInstance(instance.Name)
-	return message.AnnouncementResult{Accepted: true, HTTPAddress: s.node.Self().HTTPAddress}
+	recorded := s.registerInstance(instance)
+	accepted := message.AnnouncementResult{Accepted: true, HTTPAddress: s.node.Self().HTTPAddress}
+	s.mutex.Lock()
+	required := s.distributor.RequiresDeparture(recorded)
+	if required {
+		s.distributor.AddDeparture(recorded, func(recorded bool) {
+			if !recorded {
+				accepted = message.AnnouncementResult{}
+			}
+			reply(accepted)
+		})
+	}
+	s.mutex.Unlock()
+	if !required {
+		reply(accepted)
+		return
+	}
+	s.writeDepartures()
 }
 
-func (s *Server) registerInstance(name string) {
-	announced, _ := s.node.Instance(name)
+// registerInstance puts the recorded announcement of an instance into the distributed
+// list, and returns it. If an instance that has stopped is not recorded, its name is listed.
+func (s *Server) registerInstance(instance model.Instance) model.Instance {
+	announced, found := s.node.Instance(instance.Name)
+	if !found {
+		instance.Leaving = instance.Leaving || instance.Stopped
+		announced.Instance = instance
+	}
 	s.mutex.Lock()
 	changed := s.distributor.RegisterInstance(announced.Instance)
 	s.mutex.Unlock()
 	if changed {
 		s.flushUpdates()
 	}
+	return announced.Instance
 }
 
 // sweepRegistry refreshes the registry every registrySweepInterval. The refresh
--- a/internal/app/control/updates.go
+++ b/internal/app/control/updates.go
@@ -72,8 +72,9 @@
 }
 
 // runMaintenance submits the maintenance writes that are due: they register nodes,
-// activate binding sets and delete binding sets that are no longer needed.
+// activate binding sets, and delete binding sets and departures that are no longer needed.
 func (s *Server) runMaintenance() {
+	s.writeDepartures()
 	for _, write := range s.dueWrites() {
 		s.submit(write.Build, func(consensus.SubmitResult) {
 			s.mutex.Lock()
--- a/internal/coordination/distribution/doc.go
+++ b/internal/coordination/distribution/doc.go
@@ -19,8 +19,9 @@
 //
 // After each request, publication and tick the caller sends the replies that Flush
 // returns. While the control node is primary, the caller also carries out the writes that
-// RegisterNodes, NextActivation and NextCollection return. A write is not due again until
-// its Done has been called. A failover gathers evidence with SyncFailoverEvidence or
+// RegisterNodes, NextActivation, NextCollection and NextDepartures return. A write is not
+// due again until its Done, or FinishDepartures, has been called. An announcement for which
+// RequiresDeparture is true is acknowledged once AddDeparture has replied. A failover gathers evidence with SyncFailoverEvidence or
 // AsyncFailoverEvidence, and its decision is written by the puts of WriterRolePuts.
 //
 // Three invariants hold:
--- a/internal/coordination/distribution/instances.go
+++ b/internal/coordination/distribution/instances.go
@@ -65,9 +65,10 @@
 	return changed
 }
 
-// UpdateInstances replaces the list with the instances that this control node has observed.
-// Observations made more than maxObservationAge before the tenure are left out. It returns
-// true if an instance was added or a listed field of one changed.
+// UpdateInstances replaces the list with the instances that this control node has observed,
+// and with those that have departed, which nodes may still list as ready. Observations made
+// more than maxObservationAge before the tenure are left out. It returns true if an instance
+// was added or a listed field of one changed.
 func (m *Machine) UpdateInstances(observations []Observation) bool {
 	present, changed := map[string]bool{}, false
 	for _, observation := range observations {
@@ -77,14 +78,20 @@
 		present[observation.Instance.Name] = true
 		changed = m.RegisterInstance(observation.Instance) || changed
 	}
+	for _, name := range slices.Sorted(maps.Keys(m.departures.recorded)) {
+		if !present[name] {
+			present[name] = true
+			changed = m.RegisterInstance(m.departures.recorded[name].Instance) || changed
+		}
+	}
 	maps.DeleteFunc(m.instances.entries, func(name string, _ listedInstance) bool { return !present[name] })
 	return changed
 }
 
 // RegisterInstance adds one instance to the list or updates it, and returns true if the
-// list has changed.
+// list has changed. An instance that has departed is listed as such.
 func (m *Machine) RegisterInstance(instance model.Instance) bool {
-	return m.instances.register(instance)
+	return m.instances.register(m.WithDeparture(instance))
 }
 
 func (m *Machine) listVersion(wallNanos int64) ListVersion {
--- a/internal/coordination/distribution/machine.go
+++ b/internal/coordination/distribution/machine.go
@@ -34,6 +34,7 @@
 	tenureEpoch  uint64
 	firstVersion store.Version
 	setCache     setCache
+	departures   departureList
 
 	tenureState
 }
@@ -82,6 +83,7 @@
 func New(self string, timing lease.Timing, record consensus.Record, state *store.Table, now time.Duration) *Machine {
 	m := &Machine{
 		self: self, timing: timing, record: record, state: state, tenureEpoch: record.Epoch + 1, setCache: newSetCache(),
+		departures: newDepartureList(),
 	}
 	m.startTenure(now)
 	m.Publish(state)
@@ -129,6 +131,7 @@
 func (m *Machine) Publish(state *store.Table) {
 	previous := m.snapshot
 	m.snapshot, _ = model.RefreshSnapshot(state, previous, m.state)
+	m.departures.recorded = model.ReadDepartures(state, m.departures.recorded, m.state)
 	m.state = state
 	m.setCache.retain(m.snapshot.Sets)
 	if m.firstVersion == (store.Version{}) && state.Version.Epoch >= m.tenureEpoch {
--- a/internal/coordination/pool/linepool/instance.go
+++ b/internal/coordination/pool/linepool/instance.go
@@ -65,8 +65,18 @@
 	}
 }
 
-// UpdateInstance applies the control primary's description of an instance.
+// UpdateInstance applies the control primary's description of an instance. The primary
+// may know of an instance only that it has stopped; the description that this node has is
+// kept then.
 func (m *Machine) UpdateInstance(info model.Instance, now time.Duration) {
+	if info.Stopped && info.Database == "" {
+		known := m.instance(info.Name)
+		if known == nil {
+			return
+		}
+		info = known.info
+		info.Leaving, info.Stopped = true, true
+	}
 	database := m.database(info.Database)
 	instance := m.instances.GetOrAdd(info.Name, func() *instanceState { return m.newInstance(database) })
 	previous := instance.info
--- a/internal/coordination/pool/linepool/instance_test.go
+++ b/internal/coordination/pool/linepool/instance_test.go
@@ -84,6 +84,17 @@
 	})
 }
 
+// expectReadsAtPrimary checks that reads that a replica could answer go to the primary.
+func (h *harness) expectReadsAtPrimary() {
+	for range 4 {
+		client := h.client("stale")
+		h.query(client, read("1"))
+		send := h.nextSend()
+		So(send.target(), ShouldEqual, "a")
+		h.answerSend(send, lineproto.StateIdle, done("s"))
+	}
+}
+
 func TestLeavingInstances(t *testing.T) {
 	Convey("A draining replica receives no new reads, and its idle connections are closed", t, func() {
 		h := newHarness(20)
@@ -91,15 +102,22 @@
 		h.registered("b").Leaving = true
 		h.registered("c").Leaving = true
 		h.update(leaseDuration)
-		for range 4 {
-			client := h.client("stale")
-			h.query(client, read("1"))
-			send := h.nextSend()
-			So(send.target(), ShouldEqual, "a")
-			h.answerSend(send, lineproto.StateIdle, done("s"))
-		}
+		h.expectReadsAtPrimary()
 		So(len(h.instance("b").conns)+len(h.instance("c").conns), ShouldEqual, 0)
 	})
+	// Guards against reads at an instance whose leave a new control primary acknowledged
+	// without knowing it.
+	Convey("A replica of which the control primary knows only that it has stopped receives no new reads, and an unknown one is ignored", t, func() {
+		h := newHarness(20)
+		h.samplePosition()
+		for _, name := range []string{"b", "c", "unknown"} {
+			h.UpdateInstance(model.Instance{Name: name, SyncReplication: true, Leaving: true, Stopped: true}, h.now)
+		}
+		h.expectReadsAtPrimary()
+		So(h.instance("b").info.Address, ShouldEqual, "b:1")
+		So(h.instance("unknown"), ShouldBeNil)
+		So(h.databases.Get(""), ShouldBeNil)
+	})
 	Convey("A draining primary receives strict statements on its existing connections until its term closes", t, func() {
 		h := newHarness(20)
 		client := h.client("strict")
--- a/internal/state/encoded/encoded.go
+++ b/internal/state/encoded/encoded.go
@@ -39,6 +39,12 @@
 	Calls       uint64
 }
 
+// Departure is the encoded form of model.Departure.
+type Departure struct {
+	Instance   Instance
+	RecordedAt int64
+}
+
 // Position is the encoded form of model.Position.
 type Position struct {
 	Term  uint64
--- a/internal/state/model/keys.go
+++ b/internal/state/model/keys.go
@@ -23,6 +23,8 @@
 	// PrefixManifest: the original text of a manifest, by the sequence of the binding set
 	// created from it.
 	PrefixManifest = "raw/"
+	// PrefixDeparture: a Departure by the name of the instance.
+	PrefixDeparture = "departure/"
 )
 
 // BindingSetKey returns the key of a binding set. The keys sort by sequence.
--- a/test/compatibility/stored_test.go
+++ b/test/compatibility/stored_test.go
@@ -56,6 +56,7 @@
 		recordOf("writer", model.WriterRoleFrom),
 		recordOf("booking", model.ScheduledChangeFrom),
 		recordOf("entry", model.AuditEntryFrom),
+		recordOf("departure", model.DepartureFrom),
 		plainRecordOf[callresult.Result]("outcome"),
 	}
 }
--- a/test/simulation/control.go
+++ b/test/simulation/control.go
@@ -203,8 +203,10 @@
 // primary.
 func (c *controlServer) submitDueWrites() {
 	if !c.isPrimary() {
+		c.distributor.RejectDepartures().Reply(false)
 		return
 	}
+	c.writeDepartures()
 	sources := []func(int64, time.Duration) (distribution.Write, bool){
 		c.distributor.RegisterNodes, c.distributor.NextActivation, c.distributor.NextCollection,
 	}
--- a/test/simulation/lines_defects_test.go
+++ b/test/simulation/lines_defects_test.go
@@ -42,7 +42,7 @@
 		}
 		old.leavingSince = l.simulator.now
 		for _, control := range l.controls {
-			control.onAnnouncement(old.info())
+			control.onAnnouncement(old.info(), func() {})
 		}
 		old.leavingSince = 0
 	})
--- a/test/simulation/lines_instance_announcement.go
+++ b/test/simulation/lines_instance_announcement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tansyseam/internal/coordination/consensus"
 	"tansyseam/internal/coordination/distribution"
 	"tansyseam/internal/state/model"
 )
@@ -41,12 +42,13 @@
 			if !primary.isPrimary() {
 				return
 			}
-			primary.onAnnouncement(info)
-			i.simulator.sendAlong([]*machine{&primary.machine, &receiver.machine, &i.machine}, func() {
-				answered = true
-				if info.Leaving && i.leavingAcknowledged == 0 {
-					i.leavingAcknowledged = i.simulator.now
-				}
+			primary.onAnnouncement(info, func() {
+				i.simulator.sendAlong([]*machine{&primary.machine, &receiver.machine, &i.machine}, func() {
+					answered = true
+					if info.Leaving && i.leavingAcknowledged == 0 {
+						i.leavingAcknowledged = i.simulator.now
+					}
+				})
 			})
 		})
 	})
@@ -58,13 +60,40 @@
 }
 
 // onAnnouncement stores an announcement, unless a newer one of the same instance
-// is already stored.
-func (c *controlServer) onAnnouncement(info model.Instance) {
-	if last, found := c.announcements[info.Name]; found && info.AnnouncementNumber <= last.Instance.AnnouncementNumber {
+// is already stored. It acknowledges the announcement once a departure that it contains
+// is recorded.
+func (c *controlServer) onAnnouncement(info model.Instance, acknowledge func()) {
+	if last, found := c.announcements[info.Name]; !found || info.AnnouncementNumber > last.Instance.AnnouncementNumber {
+		c.announcements[info.Name] = distribution.Observation{Instance: info, ObservedAt: c.clock()}
+		if c.distributor.UpdateInstances(c.announcementsByName()) {
+			c.flushUpdates()
+		}
+	}
+	recorded := c.announcements[info.Name].Instance
+	if !c.distributor.RequiresDeparture(recorded) {
+		acknowledge()
 		return
 	}
-	c.announcements[info.Name] = distribution.Observation{Instance: info, ObservedAt: c.clock()}
-	if c.distributor.UpdateInstances(c.announcementsByName()) {
-		c.flushUpdates()
+	c.distributor.AddDeparture(recorded, func(recorded bool) {
+		if recorded {
+			acknowledge()
+		}
+	})
+	c.writeDepartures()
+}
+
+// writeDepartures submits the write of the departures that wait for one, if none is
+// pending.
+func (c *controlServer) writeDepartures() {
+	write, due := c.distributor.NextDepartures(c.wallNow())
+	if !due {
+		return
 	}
+	c.submit(write.Build, func(submitted consensus.SubmitResult) {
+		c.distributor.FinishDepartures()
+		write.Reply(submitted.Committed)
+		if submitted.Committed {
+			c.writeDepartures()
+		}
+	})
 }
