Check in the model checker that the cluster recovers from the states it reaches

Now all faults end in a copy of one in 20 states, and within 10 s a primary with a backup has to acknowledge a new write and serve all that was acknowledged or served. States with more disks lost than the replicas bear are left out (shape 4).

Found: in shape 9 (killed, asked to leave) a primary and a voter answer each other without end while the backup is leaving and dead and a write is pending: RepairDone is answered by RepairDigests at once.

--- a/test/cmd/modelcheck/main.go
+++ b/test/cmd/modelcheck/main.go
@@ -23,12 +23,16 @@
 	deep := flag.Bool("deep", false, "search the deeper shapes instead of those of the tests")
 	only := flag.Int("shape", allConfigs, "search only the shape with this number (-1: all)")
 	maxStates := flag.Int("most", 0, "maximum number of states of each search (0: no limit)")
+	progress := flag.Int("progress", 0, "check in one of this many states that the cluster recovers (0: in none)")
 	jobs := flag.Int("jobs", 2, "number of shapes searched concurrently")
 	flag.Parse()
 	configs := modelcheck.QuickConfigs()
 	if *deep {
 		configs = modelcheck.DeepConfigs()
 	}
+	for index := range configs {
+		configs[index].ProgressInterval = *progress
+	}
 	if searchAll(configs, *only, *maxStates, *jobs) > 0 {
 		os.Exit(1)
 	}
@@ -64,8 +68,8 @@
 }
 
 func report(number int, config modelcheck.Config, result modelcheck.Result, elapsed time.Duration) {
-	fmt.Printf("shape %d: %s: %d states, %d steps, epochs up to %d, %d writes acknowledged, ended early %t, %.1f s\n",
-		number, describe(config), result.States, result.Steps, result.HighestEpoch, result.AckedWrites, result.Truncated, elapsed.Seconds())
+	fmt.Printf("shape %d: %s: %d states, %d steps, recovery checked in %d, epochs up to %d, %d writes acknowledged, ended early %t, %.1f s\n",
+		number, describe(config), result.States, result.Steps, result.ProgressChecks, result.HighestEpoch, result.AckedWrites, result.Truncated, elapsed.Seconds())
 	if result.Violation != "" {
 		fmt.Println("  violated:", result.Violation)
 		fmt.Println("    " + strings.Join(result.Trace, "\n    "))
--- a/test/modelcheck/config.go
+++ b/test/modelcheck/config.go
@@ -28,6 +28,9 @@
 	FaultsWhenHealthyOnly bool
 	// Defect is the defect that is planted around the machines.
 	Defect Defect
+	// ProgressInterval is the number of new states of which one is searched for progress
+	// (see checkProgress). If it is 0, none is.
+	ProgressInterval int
 	// MaxStates ends the search after this number of distinct states. There is no
 	// limit if it is 0.
 	MaxStates int
--- a/test/modelcheck/faults.go
+++ b/test/modelcheck/faults.go
@@ -110,7 +110,10 @@
 	{Frozen, func(_ *world, h *host) bool { return h.running && !h.frozen }, func(_ *world, h *host) { h.frozen = true }},
 	{Isolated, func(_ *world, h *host) bool { return !h.isolated }, func(_ *world, h *host) { h.isolated = true }},
 	{DiskHangs, func(_ *world, h *host) bool { return h.running && !h.diskHung }, func(_ *world, h *host) { h.diskHung = true }},
-	{Leaving, isRunning, func(w *world, h *host) { w.step(h, consensus.Leave{}) }},
+	{Leaving, isRunning, func(w *world, h *host) {
+		h.leaving = true
+		w.step(h, consensus.Leave{})
+	}},
 	{Wiped, func(w *world, _ *host) bool { return w.wipes < w.config.MaxWipes }, (*world).wipe},
 }
 
--- a/test/modelcheck/host.go
+++ b/test/modelcheck/host.go
@@ -29,6 +29,8 @@
 	// A frozen node does nothing. A node whose disk hangs saves nothing. An isolated
 	// node neither receives nor sends messages.
 	frozen, diskHung, isolated bool
+	// leaving is true if the running program was asked to leave.
+	leaving bool
 	// wiped is true if the node has lost a disk.
 	wiped bool
 	// delayedSave is the save that Defect.VotesUnsynced has delayed, or nil.
@@ -100,7 +102,7 @@
 	saved := w.load(h)
 	bootstrap := consensus.BootstrapConfig{Voters: 2*w.config.RequiredReplicas - 1, RequireBackup: true}
 	h.incarnation++
-	h.running, h.frozen, h.leaseUntil, h.inbox = true, false, 0, nil
+	h.running, h.frozen, h.leaving, h.leaseUntil, h.inbox = true, false, false, 0, nil
 	h.machine = consensus.NewWithBootstrap(h.name, bootstrap, consensus.DefaultTiming(), saved, w.now)
 	h.gate = &consensus.SyncGate{}
 	h.published = keysOf(h.machine.CommittedTable())
--- a/test/modelcheck/modelcheck.go
+++ b/test/modelcheck/modelcheck.go
@@ -23,6 +23,8 @@
 	// States is the number of distinct states. Steps is the number of times that any
 	// state was reached.
 	States, Steps int
+	// ProgressChecks is the number of states from which the cluster was seen to recover.
+	ProgressChecks int
 	// HighestEpoch is the highest decided epoch. AckedWrites is the maximum number of
 	// writes that were acknowledged in one state.
 	HighestEpoch uint64
@@ -64,6 +66,14 @@
 			continue
 		}
 		visited[key] = remaining
+		if w.violation == "" && config.ProgressInterval > 0 && len(visited)%config.ProgressInterval == 0 && config.toleratesLosses() {
+			result.ProgressChecks++
+			w.checkProgress()
+		}
+		if w.violation != "" {
+			result.Violation, result.Trace = w.violation, w.trace.lines()
+			break
+		}
 		if config.MaxStates > 0 && len(visited) >= config.MaxStates {
 			result.Truncated = true
 			break
--- a/test/modelcheck/modelcheck_test.go
+++ b/test/modelcheck/modelcheck_test.go
@@ -23,14 +23,30 @@
 	return results
 }
 
+// leavingShape is the number of the quick search in which nodes of a small cluster leave.
+const leavingShape = 9
+
+// progressInterval is the number of states of which the tests check one for progress.
+const progressInterval = 20
+
+// Guards, among others, against a control plane that is stuck for good after the loss of a
+// disk in an epoch without a backup (review/4).
 func TestNoTraceViolatesAnInvariant(t *testing.T) {
-	Convey("No sequence of events within the bounds violates an invariant, and the search reaches epoch changes and committed writes", t, func() {
+	Convey("No sequence of events within the bounds violates an invariant, the cluster recovers once all faults have ended, and the search reaches epoch changes and committed writes", t, func() {
 		configs := QuickConfigs()
+		for index := range configs {
+			if index != leavingShape {
+				configs[index].ProgressInterval = progressInterval
+			}
+		}
 		for index, result := range runAll(configs) {
 			about := fmt.Sprintf("%+v: %d states\n%s", configs[index], result.States, strings.Join(result.Trace, "\n"))
 			t.Log(configs[index], result.States, result.Steps, result.HighestEpoch, result.AckedWrites)
 			SoMsg(about, result.Violation, ShouldBeEmpty)
 			So(result.Truncated, ShouldBeFalse)
+			if configs[index].ProgressInterval > 0 && configs[index].toleratesLosses() {
+				So(result.ProgressChecks, ShouldBeGreaterThan, 100)
+			}
 			So(result.States, ShouldBeGreaterThan, 1000)
 			So(result.HighestEpoch, ShouldBeGreaterThanOrEqualTo, 2)
 			So(result.AckedWrites, ShouldEqual, configs[index].Writes+1)
@@ -38,6 +54,17 @@
 	})
 }
 
+// Guards against nodes that answer each other without end while a backup that is leaving
+// has been killed.
+func TestRecoveryFromLeavingNodes(t *testing.T) {
+	Convey("The cluster recovers after nodes were asked to leave and killed", t, func() {
+		config := QuickConfigs()[leavingShape]
+		config.ProgressInterval = progressInterval
+		result := Run(config)
+		SoMsg(strings.Join(result.Trace, "\n"), result.Violation, ShouldBeEmpty)
+	})
+}
+
 func TestDeterministic(t *testing.T) {
 	Convey("Searches with the same Config return the same Result", t, func() {
 		config := Config{Voters: 3, MaxFaults: 1, MaxWipes: 1, RoundDuration: coarseRound, Rounds: 3, Writes: 1, RequiredReplicas: 2}
--- a/test/modelcheck/world.go
+++ b/test/modelcheck/world.go
@@ -19,6 +19,8 @@
 	// primary with a lease and one committed write.
 	settlingRounds = 12
 	settlingWrites = 1
+	// maxMessagesAtOnce is far above the number of messages that a round causes.
+	maxMessagesAtOnce = 10_000
 )
 
 // message is a message in flight from one node to another.
@@ -148,8 +150,15 @@
 	w.receive(h, delivered)
 }
 
+// deliverAll delivers all messages in flight and those that they cause. Nodes that go on
+// answering each other at the same point in time violate an invariant.
 func (w *world) deliverAll() {
-	for len(w.inFlight) > 0 {
+	for delivered := 0; len(w.inFlight) > 0; delivered++ {
+		if delivered == maxMessagesAtOnce {
+			w.violate("%T from %s to %s follows %d messages at the same time", w.inFlight[0].body, w.inFlight[0].from, w.inFlight[0].to, delivered)
+			w.inFlight = nil
+			return
+		}
 		w.deliver(0)
 	}
 }
